--- /dev/null
+++ b/core/process/gtmember/table_test.go
@@ -0,0 +1,234 @@
+package gtmember
+
+import (
+	"fmt"
+	"maps"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func newTable(now *time.Time) *Table {
+	t := &Table{Now: func() time.Time { return *now }}
+	t.SetSelf(NewRecord("self", "z1", "127.0.0.1:1", "127.0.0.1:2").WithBackend("svc", "1", 4))
+	return t
+}
+
+func drawRecord(t *rapid.T) Record {
+	name := fmt.Sprintf("i%d", rapid.IntRange(0, 4).Draw(t, "instance"))
+	return NewRecord(name, "z1", "127.0.0.1:1", "127.0.0.1:2").
+		WithBackend(rapid.SampledFrom([]string{"svc", "other"}).Draw(t, "service"), "1", 4).
+		WithIncarnation(uint64(rapid.IntRange(1, 4).Draw(t, "incarnation"))).
+		WithState(State(rapid.IntRange(0, int(Gone)).Draw(t, "state")))
+}
+
+// naive is what merging means, written down plainly: the greatest record of
+// each instance.
+func naive(list []Record) map[string][2]int {
+	best := map[string][2]int{}
+	for _, r := range list {
+		key := [2]int{int(r.incarnation), int(r.state)}
+		old, ok := best[r.instance]
+		if !ok || key[0] > old[0] || key[0] == old[0] && key[1] > old[1] {
+			best[r.instance] = key
+		}
+	}
+	return best
+}
+
+func contents(t *Table) map[string][2]int {
+	out := map[string][2]int{}
+	for _, r := range t.All() {
+		if r.instance != "self" {
+			out[r.instance] = [2]int{int(r.incarnation), int(r.state)}
+		}
+	}
+	return out
+}
+
+// Facts come in any order and any number of times; the table must end as the
+// naive maximum does. Each instance is made known first, since a gone record
+// of an unknown one is not taken in.
+func TestMergeIsTheMaximum(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		var list []Record
+		for i := range 5 {
+			list = append(list, NewRecord(fmt.Sprintf("i%d", i), "z1", "127.0.0.1:1", "127.0.0.1:2").WithBackend("svc", "1", 4))
+		}
+		list = append(list, rapid.SliceOfN(rapid.Custom(drawRecord), 0, 40).Draw(t, "facts")...)
+		table := newTable(&now)
+		for _, r := range list {
+			table.Merge(r)
+		}
+		for _, i := range rapid.SliceOf(rapid.IntRange(0, len(list)-1)).Draw(t, "repeats") {
+			if table.Merge(list[i]) {
+				t.Fatal("a repeated fact was news")
+			}
+		}
+		if got, want := contents(table), naive(list); !maps.Equal(got, want) {
+			t.Fatalf("table holds %v, expected %v", got, want)
+		}
+		for _, service := range []string{"svc", "other"} {
+			for _, r := range table.Service(service) {
+				known, _ := table.Get(r.instance)
+				if r.state == Gone || known.service != service || known.state != r.state {
+					t.Fatalf("index of %s holds %+v, table %+v", service, r, known)
+				}
+			}
+		}
+	})
+}
+
+// Two sides of a cut exchange what they have. What one side knows to be gone
+// must not come back.
+func TestMergeDoesNotReviveGone(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(1000, 0)
+	a, b := newTable(&now), newTable(&now)
+	r := NewRecord("x", "z2", "127.0.0.1:1", "127.0.0.1:2").WithBackend("svc", "1", 4).WithState(Ready)
+	a.Merge(r)
+	b.Merge(r)
+	a.Merge(r.WithState(Gone))
+	for i := range a.Digest() {
+		for _, r := range b.Shard(i) {
+			a.Merge(r)
+		}
+		for _, r := range a.Shard(i) {
+			b.Merge(r)
+		}
+	}
+	for _, table := range []*Table{a, b} {
+		got, _ := table.Get("x")
+		g.Expect(got.State()).To(gomega.Equal(Gone))
+		g.Expect(table.Service("svc")).To(gomega.HaveLen(1))
+	}
+	g.Expect(a.Digest()).To(gomega.Equal(b.Digest()))
+	g.Expect(a.Merge(r.WithIncarnation(2))).To(gomega.BeTrue(), "a new start of the instance is let in")
+}
+
+// An unknown gone record must not enter, or peers would pass it around for
+// ever as each forgets it at another time.
+func TestUnknownGoneIsNotTakenIn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(1000, 0)
+	table := newTable(&now)
+	r := NewRecord("x", "z2", "127.0.0.1:1", "127.0.0.1:2").WithBackend("svc", "1", 4)
+	g.Expect(table.Merge(r.WithState(Gone))).To(gomega.BeFalse())
+	g.Expect(table.Merge(r)).To(gomega.BeTrue())
+	g.Expect(table.Merge(r.WithState(Gone))).To(gomega.BeTrue())
+	now = now.Add(GoneFor + time.Second)
+	table.Sweep()
+	g.Expect(table.Merge(r.WithState(Gone))).To(gomega.BeFalse())
+	g.Expect(table.All()).To(gomega.HaveLen(1))
+}
+
+func TestSelfAnswersSuspicion(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(1000, 0)
+	table := newTable(&now)
+	self := table.Self().WithState(Ready).WithIncarnation(7)
+	table.SetSelf(self)
+	g.Expect(table.Merge(self.WithState(Suspect))).To(gomega.BeFalse())
+	g.Expect(table.Self().Incarnation()).To(gomega.Equal(uint64(8)))
+	g.Expect(table.Self().State()).To(gomega.Equal(Ready))
+}
+
+func TestSuspectThatStaysSilentIsGone(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(1000, 0)
+	table := newTable(&now)
+	table.Merge(NewRecord("x", "z2", "127.0.0.1:1", "127.0.0.1:2").WithBackend("svc", "1", 4).WithState(Ready))
+	_, ok := table.Suspect("x")
+	g.Expect(ok).To(gomega.BeTrue())
+	now = now.Add(SuspectAfter / 2)
+	g.Expect(table.Sweep()).To(gomega.BeEmpty())
+	now = now.Add(SuspectAfter)
+	g.Expect(table.Sweep()).To(gomega.HaveLen(1))
+}
+
+// The node turns its own record while peers make it refute: no turn may get
+// lost, and the table must hold what the node says of itself.
+func TestTurnsAndRefutations(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(0, 0)
+	for range 50 {
+		table := newTable(&now)
+		var turned atomic.Bool
+		var lost atomic.Int64
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			for i := range 500 {
+				s := []State{Ready, Down}[i%2]
+				table.Turn(s)
+				if table.Self().State() != s {
+					lost.Add(1)
+				}
+			}
+			table.Turn(Leaving)
+			turned.Store(true)
+		})
+		wg.Go(func() {
+			for !turned.Load() {
+				table.Merge(table.Self().WithState(Suspect))
+			}
+		})
+		wg.Wait()
+		held, _ := table.Get("self")
+		g.Expect(lost.Load()).To(gomega.BeZero())
+		g.Expect(table.Self().State()).To(gomega.Equal(Leaving))
+		g.Expect(held).To(gomega.Equal(table.Self()))
+	}
+}
+
+func TestDamperBoundsAnnouncements(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(1000, 0)
+	d := Damper{Now: func() time.Time { return now }}
+	allowed := 0
+	for range 600 {
+		if d.Allow() {
+			allowed++
+		}
+		now = now.Add(time.Second)
+	}
+	g.Expect(allowed).To(gomega.BeNumerically("<=", FlapBurst*600/int(FlapWindow/time.Second)))
+	now = now.Add(FlapWindow)
+	for range FlapBurst {
+		g.Expect(d.Allow()).To(gomega.BeTrue(), "a quiet time gives them back")
+	}
+	g.Expect(d.Allow()).To(gomega.BeFalse())
+}
+
+// A list is made once for many facts, and holds them all, also for a member
+// that changes its service.
+func TestServiceListAfterManyFacts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := gomega.NewWithT(t)
+		now := time.Unix(0, 0)
+		table := newTable(&now)
+		for _, r := range rapid.SliceOf(rapid.Custom(drawRecord)).Draw(t, "records") {
+			table.Merge(r)
+			if rapid.Bool().Draw(t, "look") {
+				table.Service("svc")
+			}
+		}
+		for _, service := range []string{"svc", "other"} {
+			var want []string
+			for _, r := range table.All() {
+				if r.Service() == service && r.State() != Gone {
+					want = append(want, r.Instance())
+				}
+			}
+			var got []string
+			for _, r := range table.Service(service) {
+				got = append(got, r.Instance())
+			}
+			g.Expect(got).To(gomega.Equal(want))
+		}
+	})
+}
