--- /dev/null
+++ b/core/request/gtadmit/gate.go
@@ -0,0 +1,284 @@
+// Package gtadmit is the sole gate of a backend server: it decides which
+// requests run now, which wait, and which are refused before they have cost
+// anything.
+//
+// # Usage
+//
+//	gate := &gtadmit.Gate{Now: timer.Time, Slots: 10}
+//	ticket, err := gate.Enter(gtconfig.Normal, deadline)
+//	select {
+//	case <-ticket.Granted():
+//	case <-ctx.Done(): ticket.Abandon()
+//	}
+//	defer ticket.Done("book", latency, gtadmit.Good)
+//
+// The limit on requests that run at once starts low after a start, rises
+// while answers stay as fast as the fastest lately, and falls when they slow
+// down or the backend server refuses. The fast class goes before the normal
+// one and keeps a part of the limit for itself. Enter never blocks.
+package gtadmit
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"godwittide/core/request/gtkind"
+	"godwittide/core/request/gtroute"
+	"godwittide/core/version/gtconfig"
+)
+
+const (
+	// MaxWait is the longest time that a request is let wait for its turn.
+	MaxWait = 250 * time.Millisecond
+	// queuePerSlot bounds the queue of each class.
+	queuePerSlot = 2
+	// fastMemory is how long after the last fast request a part of the limit
+	// stays kept for that class.
+	fastMemory = 10 * time.Second
+	// fastPart is the part of the limit that is kept: one in so many.
+	fastPart = 5
+	// serviceWeight is the weight of the newest answer in the mean latency.
+	serviceWeight = 0.1
+
+	classes = 2
+)
+
+// Result is what came of a request that ran.
+type Result int
+
+// The results.
+const (
+	// Good means that the backend server answered.
+	Good Result = iota
+	// Shed means that the backend server refused the request as too much.
+	Shed
+	// Failed means that no whole answer came; it says nothing of latency.
+	Failed
+)
+
+// Gate admits requests to one backend server. Its state is the shard of that
+// server, under one lock.
+type Gate struct {
+	// Now reads the timer service's clock. It is set before use.
+	Now func() time.Time
+	// Slots is the ceiling of the limit: how many requests the backend server
+	// can run at once when it is warm. It is set before use.
+	Slots int
+	// Fixed keeps the limit at Slots, for comparison. It is set before use.
+	Fixed bool
+
+	mu      sync.Mutex
+	limit   limiter
+	started bool
+	running [classes]int
+	queue   [classes][]*Ticket
+	mean    [classes]time.Duration
+	fastAt  time.Time
+	refused uint64
+	closed  gtkind.Kind
+}
+
+// Ticket is one request's place at the gate.
+type Ticket struct {
+	gate     *Gate
+	class    gtconfig.Class
+	deadline time.Time
+	granted  chan struct{}
+	running  bool
+	over     bool
+	busy     bool
+}
+
+// Enter takes a request in. The ticket is granted at once or later; the error
+// is Full, Expired, or the kind that the gate was closed with.
+func (g *Gate) Enter(class gtconfig.Class, deadline time.Time) (*Ticket, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.begin()
+	if g.closed != gtkind.None {
+		return nil, gtkind.New(g.closed, "backend server takes no requests")
+	}
+	if !now.Before(deadline) {
+		return nil, gtkind.New(gtkind.Expired, "deadline passed before the request ran")
+	}
+	if class == gtconfig.Fast {
+		g.fastAt = now
+	}
+	t := &Ticket{gate: g, class: class, deadline: deadline, granted: make(chan struct{})}
+	if len(g.queue[class]) == 0 && g.room(class, now) {
+		g.grant(t)
+		return t, nil
+	}
+	if err := g.wait(t, now); err != nil {
+		g.refused++
+		return nil, err
+	}
+	return t, nil
+}
+
+func (g *Gate) begin() time.Time {
+	now := g.Now()
+	if !g.started {
+		g.started = true
+		g.limit.reset(g.Slots, now)
+		if g.Fixed {
+			g.limit.limit = float64(g.Slots)
+		}
+	}
+	return now
+}
+
+func (g *Gate) room(class gtconfig.Class, now time.Time) bool {
+	limit := g.limit.whole()
+	total := g.running[gtconfig.Fast] + g.running[gtconfig.Normal]
+	if class == gtconfig.Fast {
+		return total < limit
+	}
+	return total < limit-g.kept(limit, now)
+}
+
+// kept returns the part of the limit that normal requests leave free. Fast
+// requests that run use it up.
+func (g *Gate) kept(limit int, now time.Time) int {
+	if limit < 2 || now.Sub(g.fastAt) > fastMemory {
+		return 0
+	}
+	return max(0, (limit+fastPart-1)/fastPart-g.running[gtconfig.Fast])
+}
+
+func (g *Gate) grant(t *Ticket) {
+	t.running = true
+	g.running[t.class]++
+	t.busy = g.running[gtconfig.Fast]+g.running[gtconfig.Normal] >= g.limit.whole()
+	close(t.granted)
+}
+
+// wait puts a ticket into its queue by deadline, unless the wait that lies
+// ahead is too long.
+func (g *Gate) wait(t *Ticket, now time.Time) error {
+	q := g.queue[t.class]
+	if len(q) >= queuePerSlot*g.Slots {
+		return gtkind.New(gtkind.Full, "admission queue is full")
+	}
+	ahead := len(q) + 1
+	if t.class == gtconfig.Normal {
+		ahead += len(g.queue[gtconfig.Fast])
+	}
+	mean := g.mean[t.class]
+	wait := time.Duration(float64(mean) * float64(ahead) / g.limit.limit)
+	if wait > min(MaxWait, t.deadline.Sub(now)-mean) {
+		return gtkind.New(gtkind.Full, "expected wait of %s is too long", wait.Round(time.Millisecond))
+	}
+	i, _ := slices.BinarySearchFunc(q, t.deadline, func(o *Ticket, d time.Time) int {
+		if o.deadline.After(d) {
+			return 1
+		}
+		return -1
+	})
+	g.queue[t.class] = slices.Insert(q, i, t)
+	return nil
+}
+
+// Granted is closed when the request may run.
+func (t *Ticket) Granted() <-chan struct{} { return t.granted }
+
+// Abandon gives up a ticket that was not used. It says whether the ticket had
+// been granted in the meantime.
+func (t *Ticket) Abandon() bool {
+	g := t.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if t.over {
+		return t.running
+	}
+	t.over = true
+	if t.running {
+		g.running[t.class]--
+		g.admitWaiting(g.Now())
+		return true
+	}
+	g.queue[t.class] = slices.DeleteFunc(g.queue[t.class], func(o *Ticket) bool { return o == t })
+	return false
+}
+
+// Done gives the slot back and learns from the result. The latency is the time
+// that the backend server took; route tells answers of different kinds apart.
+func (t *Ticket) Done(route string, latency time.Duration, result Result) {
+	g := t.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if t.over {
+		return
+	}
+	t.over = true
+	now := g.Now()
+	g.running[t.class]--
+	g.learn(t, route, latency, result, now)
+	g.admitWaiting(now)
+}
+
+func (g *Gate) learn(t *Ticket, route string, latency time.Duration, result Result, now time.Time) {
+	if result == Good {
+		g.mean[t.class] += time.Duration(serviceWeight * float64(latency-g.mean[t.class]))
+	}
+	if g.Fixed {
+		return
+	}
+	switch result {
+	case Good:
+		g.limit.observe(route, latency, t.busy, now)
+	case Shed:
+		g.limit.shed(g.running[gtconfig.Fast]+g.running[gtconfig.Normal], now)
+	case Failed:
+	}
+}
+
+func (g *Gate) admitWaiting(now time.Time) {
+	for class := range g.queue {
+		for len(g.queue[class]) > 0 && g.room(gtconfig.Class(class), now) {
+			t := g.queue[class][0]
+			g.queue[class] = g.queue[class][1:]
+			g.grant(t)
+		}
+	}
+}
+
+// Cool tells the gate that the backend server has just started or may have
+// turned cold: the limit starts low again.
+func (g *Gate) Cool() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.begin()
+	if !g.Fixed {
+		g.limit.reset(g.Slots, now)
+	}
+	g.mean = [classes]time.Duration{}
+}
+
+// Close makes the gate refuse new requests with the given kind. Requests that
+// wait or run are not touched. None opens it again.
+func (g *Gate) Close(k gtkind.Kind) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = k
+}
+
+// Load returns the requests that run or wait, and the limit.
+func (g *Gate) Load() gtroute.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.begin()
+	busy := 0
+	for c := range classes {
+		busy += g.running[c] + len(g.queue[c])
+	}
+	return gtroute.NewLoad(busy, g.limit.whole())
+}
+
+// Refused returns how many requests were refused as too much.
+func (g *Gate) Refused() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.refused
+}
--- /dev/null
+++ b/core/request/gtadmit/gate_test.go
@@ -0,0 +1,154 @@
+package gtadmit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"godwittide/core/request/gtkind"
+	"godwittide/core/version/gtconfig"
+)
+
+// server is a backend server under a clock of its own: it runs up to its
+// capacity at once and sheds the rest.
+type server struct {
+	now      time.Time
+	gate     *Gate
+	capacity int
+	work     time.Duration
+	running  []run
+	waiting  []*Ticket
+	most     int
+	good     int
+	shed     int
+	refused  int
+}
+
+type run struct {
+	ticket *Ticket
+	since  time.Time
+	until  time.Time
+}
+
+func newServer(slots, capacity int) *server {
+	s := &server{now: time.Unix(1000, 0), capacity: capacity, work: 10 * time.Millisecond}
+	s.gate = &Gate{Now: func() time.Time { return s.now }, Slots: slots}
+	return s
+}
+
+// offer sends requests at a rate for some time, one millisecond a step.
+func (s *server) offer(perSecond int, d time.Duration) {
+	due := 0.0
+	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(time.Millisecond) {
+		for due += float64(perSecond) / 1000; due >= 1; due-- {
+			t, err := s.gate.Enter(gtconfig.Normal, s.now.Add(time.Second))
+			if err != nil {
+				s.refused++
+				continue
+			}
+			s.waiting = append(s.waiting, t)
+		}
+		s.start()
+		s.finish()
+		s.start()
+	}
+}
+
+func (s *server) start() {
+	var left []*Ticket
+	for _, t := range s.waiting {
+		select {
+		case <-t.Granted():
+			s.most = max(s.most, len(s.running)+1)
+			if len(s.running) >= s.capacity {
+				s.shed++
+				t.Done("r", time.Millisecond, Shed)
+				continue
+			}
+			s.running = append(s.running, run{t, s.now, s.now.Add(s.work)})
+		default:
+			left = append(left, t)
+		}
+	}
+	s.waiting = left
+}
+
+func (s *server) finish() {
+	var left []run
+	for _, r := range s.running {
+		if s.now.Before(r.until) {
+			left = append(left, r)
+			continue
+		}
+		s.good++
+		r.ticket.Done("r", s.now.Sub(r.since), Good)
+	}
+	s.running = left
+}
+
+// A server that has just started bears a tenth of its slots. It must be given
+// no more from the start, and soon no more after it turns cold unannounced.
+func TestColdServerGetsNoMoreThanItBears(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newServer(10, 1)
+	s.offer(600, 200*time.Millisecond)
+	g.Expect(s.most).To(gomega.Equal(1), "from the start")
+	s.capacity = 10
+	s.offer(600, 20*time.Second)
+	s.most, s.shed, s.good = 0, 0, 0
+	s.offer(600, time.Second)
+	g.Expect(s.good).To(gomega.BeNumerically(">", 550), "a warm server gets the load")
+	s.capacity = 1
+	s.offer(600, 500*time.Millisecond)
+	g.Expect(s.shed).To(gomega.BeNumerically("<", 20), "the first refusals are enough")
+	s.shed, s.most = 0, 0
+	s.offer(600, 4*time.Second)
+	g.Expect(s.shed).To(gomega.BeNumerically("<", 8), "only tries, ever more seldom")
+	g.Expect(s.most).To(gomega.BeNumerically("<=", 2))
+	fixed := newServer(10, 1)
+	fixed.gate.Fixed = true
+	fixed.offer(600, 4*time.Second)
+	g.Expect(fixed.shed).To(gomega.BeNumerically(">", 100), "a fixed limit fails the same check")
+}
+
+// Goodput under overload stays near its peak.
+func TestGoodputUnderOverload(t *testing.T) {
+	g := gomega.NewWithT(t)
+	peak, last := 0, 0
+	for _, rate := range []int{400, 800, 1600, 4000} {
+		s := newServer(16, 8)
+		s.offer(rate, 10*time.Second)
+		s.good = 0
+		s.offer(rate, 10*time.Second)
+		t.Logf("%d a second: %d good, %d shed, %d refused", rate, s.good, s.shed, s.refused)
+		peak, last = max(peak, s.good), s.good
+	}
+	g.Expect(float64(last)).To(gomega.BeNumerically(">", 0.9*float64(peak)))
+}
+
+func TestQueueIsOrderedAndBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(1000, 0)
+	gate := &Gate{Now: func() time.Time { return now }, Slots: 1}
+	first, err := gate.Enter(gtconfig.Normal, now.Add(time.Second))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	late, _ := gate.Enter(gtconfig.Normal, now.Add(time.Second))
+	soon, _ := gate.Enter(gtconfig.Normal, now.Add(500*time.Millisecond))
+	fast, _ := gate.Enter(gtconfig.Fast, now.Add(time.Second))
+	_, err = gate.Enter(gtconfig.Normal, now.Add(time.Second))
+	g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.Full))
+	_, err = gate.Enter(gtconfig.Normal, now)
+	g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.Expired))
+	for _, t := range []*Ticket{fast, soon, late} {
+		g.Expect(t.Granted()).NotTo(gomega.BeClosed())
+		first.Done("r", time.Millisecond, Good)
+		g.Expect(t.Granted()).To(gomega.BeClosed())
+		first = t
+	}
+	gate.Close(gtkind.Leaving)
+	_, err = gate.Enter(gtconfig.Normal, now.Add(time.Second))
+	g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.Leaving))
+	g.Expect(first.Abandon()).To(gomega.BeTrue())
+	g.Expect(gate.Load().Busy()).To(gomega.BeZero())
+}
--- /dev/null
+++ b/core/request/gtonce/once_test.go
@@ -0,0 +1,116 @@
+package gtonce
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func clock() (*time.Time, func() time.Time) {
+	now := time.Unix(1000, 0)
+	return &now, func() time.Time { return now }
+}
+
+// Callers send any mix of firsts and resends, and the node's answers vary. Each
+// key may be run at most once unless every earlier run was refused as not run.
+func TestKeyRunsAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		_, now := clock()
+		keys := &Keys{Now: now}
+		var open *Entry
+		settled := ""
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			again := rapid.Bool().Draw(t, "again")
+			entry, v := keys.Begin("k", 1, NewClaim(rapid.Bool().Draw(t, "resend"), rapid.Bool().Draw(t, "sure"), again))
+			if v == Run {
+				if open != nil || settled == "done" || settled == "lost" || settled == "passed" && !again {
+					t.Fatalf("run again after %q, open %v", settled, open != nil)
+				}
+				open, settled = entry, ""
+			}
+			if v == Replay && settled != "done" || v == Lost && settled != "lost" || v == Wait && open == nil {
+				t.Fatalf("verdict %d after %q", v, settled)
+			}
+			if open != nil && rapid.Bool().Draw(t, "settle") {
+				settled = rapid.SampledFrom([]string{"done", "passed", "lost"}).Draw(t, "how")
+				switch settled {
+				case "done":
+					open.Done("answer", 6)
+				case "passed":
+					open.Passed()
+				default:
+					open.Lost()
+				}
+				open = nil
+			}
+		}
+	})
+}
+
+func TestOneOfManyAtOnceRuns(t *testing.T) {
+	g := gomega.NewWithT(t)
+	keys := &Keys{Now: time.Now}
+	var ran atomic.Int64
+	var wg sync.WaitGroup
+	for range 50 {
+		wg.Go(func() {
+			entry, v := keys.Begin("k", 1, NewClaim(false, true, false))
+			switch v {
+			case Run:
+				ran.Add(1)
+				entry.Done("a", 1)
+			case Wait:
+				<-entry.Settled()
+			}
+		})
+	}
+	wg.Wait()
+	g.Expect(ran.Load()).To(gomega.Equal(int64(1)))
+}
+
+func TestKeysAreBoundedAndForgotten(t *testing.T) {
+	g := gomega.NewWithT(t)
+	at, now := clock()
+	keys := &Keys{Now: now}
+	for i := range MaxKeys {
+		_, v := keys.Begin(fmt.Sprint(i), 1, NewClaim(false, false, false))
+		g.Expect(v).To(gomega.Equal(Run))
+	}
+	_, v := keys.Begin("more", 1, NewClaim(false, false, false))
+	g.Expect(v).To(gomega.Equal(Overflow))
+	*at = at.Add(Window + time.Second)
+	keys.Sweep()
+	g.Expect(keys.Len()).To(gomega.BeZero())
+	_, v = keys.Begin("more", 1, NewClaim(true, false, false))
+	g.Expect(v).To(gomega.Equal(Forgotten))
+	_, v = keys.Begin("other", 1, NewClaim(false, false, false))
+	g.Expect(v).To(gomega.Equal(Run))
+	_, v = keys.Begin("other", 2, NewClaim(false, false, false))
+	g.Expect(v).To(gomega.Equal(Mismatch))
+}
+
+func TestCrashesAreBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	at, now := clock()
+	cs := &Crashes{Now: now}
+	for i := range 100000 {
+		cs.Note(uint64(i), true)
+	}
+	g.Expect(cs.Len()).To(gomega.BeNumerically("<=", 32*MaxCrashes))
+	c := cs.Note(7, true)
+	g.Expect(cs.Blocked(7)).To(gomega.Equal(c.Count() >= crashLimit))
+	cs.Note(7, true)
+	g.Expect(cs.Blocked(7)).To(gomega.BeTrue())
+	cs.Clear(7)
+	g.Expect(cs.Blocked(7)).To(gomega.BeFalse())
+	cs.Note(8, false)
+	g.Expect(cs.Blocked(8)).To(gomega.BeTrue())
+	*at = at.Add(CrashWindow + time.Second)
+	g.Expect(cs.Blocked(8)).To(gomega.BeFalse())
+	g.Expect(cs.Merge(NewCrash(9, 2, false, now().Add(time.Hour)))).To(gomega.BeFalse(), "a peer can't block for longer than the window")
+}
--- /dev/null
+++ b/core/version/gtconfig/merge.go
@@ -0,0 +1,244 @@
+package gtconfig
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// The defaults of keys that a file leaves out.
+const (
+	// DefaultTimeout is the time limit of a call.
+	DefaultTimeout = 5 * time.Second
+	// MaxTimeout is the longest time limit of a call.
+	MaxTimeout = 10 * time.Minute
+	// DefaultStart is the share of requests that a new version begins with.
+	DefaultStart = 0.05
+	// DefaultWatch is how long faults are looked for after a move's end.
+	DefaultWatch = 5 * time.Minute
+	// MaxFiles is the largest number of files in a folder.
+	MaxFiles = 4096
+	// MaxFileBytes is the largest size of one file.
+	MaxFileBytes = 256 << 10
+)
+
+// keys lists, for each section, the keys it takes and their types.
+var keys = map[string]map[string]ValueType{
+	"service": {"version": TypeString, "timeout": TypeString},
+	"route": {
+		"service": TypeString, "host": TypeString, "path": TypeString, "method": TypeList,
+		"repeat": TypeBool, "class": TypeString, "timeout": TypeString,
+	},
+	"move": {
+		"service": TypeString, "from": TypeString, "to": TypeString, "by": TypeTime,
+		"start": TypeNumber, "watch": TypeString,
+	},
+	"zone": {"out": TypeBool},
+}
+
+// Merge merges and checks the files of a folder. It returns either the whole
+// result or every problem found, never a part. The order in which the files
+// are given does not matter: they are merged in the order of their names.
+func Merge(files []File) (*Config, []Problem) {
+	m := &merger{entries: map[string]Entry{}, groups: map[string]map[string]group{}}
+	files = slices.Clone(files)
+	slices.SortStableFunc(files, func(a, b File) int { return strings.Compare(a.name, b.name) })
+	for i, f := range files {
+		if i > 0 && files[i-1].name == f.name {
+			m.problems = append(m.problems, NewProblem(f.name, 0, "", "the folder holds this name twice"))
+		}
+		for _, e := range f.entries {
+			m.take(e)
+		}
+	}
+	cfg := m.build()
+	if len(m.problems) > 0 {
+		slices.SortStableFunc(m.problems, func(a, b Problem) int { return strings.Compare(a.file, b.file) })
+		return nil, m.problems
+	}
+	return cfg, nil
+}
+
+// group is what all files say of one service, route, move or zone.
+type group map[string]Entry
+
+type merger struct {
+	entries  map[string]Entry
+	groups   map[string]map[string]group
+	problems []Problem
+}
+
+func (m *merger) take(e Entry) {
+	known, ok := keys[e.section]
+	if !ok {
+		m.refuse(e, "unknown section %q; use service, route, move or zone", e.section)
+		return
+	}
+	if e.name == "" || e.key == "" {
+		m.refuse(e, "write it as [%s.NAME] with keys below", e.section)
+		return
+	}
+	want, ok := known[e.key]
+	if !ok {
+		m.refuse(e, "unknown key %q; [%s.NAME] takes %s", e.key, e.section, strings.Join(slices.Sorted(maps.Keys(known)), ", "))
+		return
+	}
+	if e.value.typ != want {
+		m.refuse(e, "expected a %s, found a %s", want, e.value.typ)
+		return
+	}
+	m.entries[e.Path()] = e
+	if m.groups[e.section] == nil {
+		m.groups[e.section] = map[string]group{}
+	}
+	if m.groups[e.section][e.name] == nil {
+		m.groups[e.section][e.name] = group{}
+	}
+	m.groups[e.section][e.name][e.key] = e
+}
+
+func (m *merger) refuse(e Entry, format string, args ...any) {
+	m.problems = append(m.problems, e.problem(format, args...))
+}
+
+func (m *merger) build() *Config {
+	cfg := &Config{services: map[string]Service{}, byPath: map[string][]Route{}, moving: map[string]int{}, out: map[string]bool{}}
+	for _, name := range m.names("service") {
+		cfg.services[name] = m.service(name, m.groups["service"][name])
+	}
+	for _, name := range m.names("route") {
+		cfg.routes = append(cfg.routes, m.route(cfg, name, m.groups["route"][name]))
+	}
+	for _, name := range m.names("move") {
+		v := m.move(cfg, name, m.groups["move"][name])
+		cfg.moving[v.service] = len(cfg.moves)
+		cfg.moves = append(cfg.moves, v)
+	}
+	for _, name := range m.names("zone") {
+		if e, ok := m.groups["zone"][name]["out"]; ok && e.value.flag {
+			cfg.out[name] = true
+		}
+	}
+	sortRoutes(cfg.routes)
+	for _, r := range cfg.routes {
+		cfg.byPath[r.path] = append(cfg.byPath[r.path], r)
+	}
+	cfg.sum = m.sum()
+	return cfg
+}
+
+func (m *merger) names(section string) []string {
+	return slices.Sorted(maps.Keys(m.groups[section]))
+}
+
+func (m *merger) service(name string, g group) Service {
+	return Service{name: name, version: g.text("version"), timeout: m.duration(g, "timeout", DefaultTimeout)}
+}
+
+func (m *merger) route(cfg *Config, name string, g group) Route {
+	r := Route{name: name, host: g.text("host"), path: g.text("path"), timeout: m.duration(g, "timeout", 0)}
+	r.service = m.serviceOf(cfg, "route", name, g)
+	if !strings.HasPrefix(r.path, "/") {
+		m.refuse(g.at("route", name, "path"), "a route needs a path that begins with /")
+	}
+	if e, ok := g["method"]; ok {
+		r.methods = e.value.list
+		if slices.ContainsFunc(r.methods, func(s string) bool { return s == "" || s != strings.ToUpper(s) }) {
+			m.refuse(e, "write methods in upper case, as in [\"GET\", \"POST\"]")
+		}
+	}
+	if e, ok := g["repeat"]; ok {
+		r.repeat = RepeatNever
+		if e.value.flag {
+			r.repeat = RepeatAlways
+		}
+	}
+	r.class = Normal
+	switch g.text("class") {
+	case "", "normal":
+	case "fast":
+		r.class = Fast
+	default:
+		m.refuse(g["class"], "unknown class %q; use fast or normal", g.text("class"))
+	}
+	return r
+}
+
+func (m *merger) serviceOf(cfg *Config, section, name string, g group) string {
+	service := g.text("service")
+	if service == "" {
+		m.refuse(g.at(section, name, "service"), "a %s needs a service", section)
+		return ""
+	}
+	if _, ok := cfg.services[service]; !ok {
+		m.refuse(g["service"], "unknown service %q; add [service.%s]", service, service)
+	}
+	return service
+}
+
+func (m *merger) move(cfg *Config, name string, g group) Move {
+	v := Move{name: name, from: g.text("from"), to: g.text("to"), start: DefaultStart}
+	v.service = m.serviceOf(cfg, "move", name, g)
+	v.watch = m.duration(g, "watch", DefaultWatch)
+	if v.from == "" || v.to == "" {
+		m.refuse(g.at("move", name, "to"), "a move needs from and to")
+	} else if v.from == v.to {
+		m.refuse(g["to"], "from and to are the same version")
+	}
+	if e, ok := g["by"]; ok {
+		v.by = e.value.at
+	} else {
+		m.refuse(g.at("move", name, "by"), "a move needs by, as in 2026-12-24T18:00:00Z")
+	}
+	if e, ok := g["start"]; ok {
+		v.start = e.value.number
+		if v.start <= 0 || v.start > 1 {
+			m.refuse(e, "the share must be above 0 and at most 1")
+		}
+	}
+	if other, ok := cfg.Move(v.service); ok && v.service != "" {
+		m.refuse(g.at("move", name, "service"), "move %q already moves service %q; a service takes one move at a time", other.name, v.service)
+	}
+	return v
+}
+
+func (m *merger) duration(g group, key string, def time.Duration) time.Duration {
+	e, ok := g[key]
+	if !ok {
+		return def
+	}
+	d, err := time.ParseDuration(e.value.text)
+	if err != nil || d <= 0 || d > MaxTimeout && key == "timeout" {
+		m.refuse(e, "expected a duration above 0 such as \"250ms\" or \"2s\" (a timeout at most %s)", MaxTimeout)
+		return def
+	}
+	return d
+}
+
+func (g group) text(key string) string { return g[key].value.text }
+
+// at returns the entry of key, or, where it is missing, a place in the group's
+// first line to hang a message on.
+func (g group) at(section, name, key string) Entry {
+	if e, ok := g[key]; ok {
+		return e
+	}
+	place := Entry{section: section, name: name, key: key}
+	for _, e := range g {
+		if place.line == 0 || e.file < place.file || e.file == place.file && e.line < place.line {
+			place.file, place.line = e.file, e.line
+		}
+	}
+	return place
+}
+
+func (m *merger) sum() string {
+	h := sha256.New()
+	for _, path := range slices.Sorted(maps.Keys(m.entries)) {
+		_, _ = h.Write([]byte(path + "=" + m.entries[path].value.canon() + "\n"))
+	}
+	return hex.EncodeToString(h.Sum(nil)[:16])
+}
