--- /dev/null
+++ b/io/connection/gtpool/pool_test.go
@@ -0,0 +1,256 @@
+package gtpool
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"godwittide/core/connection/gtlive"
+	"godwittide/core/request/gtkind"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// peer serves connections with a function that is given each request.
+func peer(t *testing.T, answer func(n int, w io.Writer, r *http.Request) bool) (addr string, conns *atomic.Int64) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	conns = &atomic.Int64{}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			conns.Add(1)
+			go func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for n := 0; ; n++ {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					if !answer(n, c, req) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String(), conns
+}
+
+func whole(w io.Writer) bool {
+	_, err := io.WriteString(w, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	return err == nil
+}
+
+func newPool(now func() time.Time) *Pool {
+	return &Pool{Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+		var d net.Dialer
+		return d.DialContext(ctx, "tcp", addr)
+	}, Now: now, Ping: true, Max: 4}
+}
+
+func get(ctx context.Context, p *Pool, addr string, idempotent bool) (string, error) {
+	req, _ := http.NewRequest(http.MethodPost, "http://"+addr+"/x", nil)
+	resp, err := p.Do(ctx, addr, "normal", req, idempotent)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return string(b), err
+}
+
+func TestConnectionIsReusedAndBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	addr, conns := peer(t, func(_ int, w io.Writer, _ *http.Request) bool { return whole(w) })
+	p := newPool(time.Now)
+	defer p.Close()
+	for range 5 {
+		body, err := get(context.Background(), p, addr, true)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(body).To(gomega.Equal("ok"))
+	}
+	g.Expect(conns.Load()).To(gomega.Equal(int64(1)))
+	held := 0
+	for range 6 {
+		req, _ := http.NewRequest(http.MethodGet, "http://"+addr+"/x", nil)
+		resp, err := p.Do(context.Background(), addr, "normal", req, true)
+		if err != nil {
+			g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.Full))
+			continue
+		}
+		held++
+		defer resp.Body.Close()
+	}
+	g.Expect(held).To(gomega.Equal(4))
+	g.Expect(p.Open(addr)).To(gomega.Equal(4))
+}
+
+// An idle connection that has gone silent must not carry a request that may
+// not be repeated; it is pinged, given up, and a new one is opened.
+func TestSilentIdleConnectionIsNotTrusted(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var silent atomic.Bool
+	var posts atomic.Int64
+	addr, conns := peer(t, func(n int, w io.Writer, r *http.Request) bool {
+		if silent.Load() && n > 0 {
+			return true // takes the request and never answers
+		}
+		if r.Method == http.MethodPost {
+			posts.Add(1)
+		}
+		return whole(w)
+	})
+	var skew atomic.Int64
+	p := newPool(func() time.Time { return time.Now().Add(time.Duration(skew.Load())) })
+	defer p.Close()
+	_, err := get(context.Background(), p, addr, false)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	silent.Store(true)
+	skew.Store(int64(2 * gtlive.Fresh))
+	start := time.Now()
+	_, err = get(context.Background(), p, addr, false)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(time.Since(start)).To(gomega.BeNumerically("<", 2*time.Second))
+	g.Expect(posts.Load()).To(gomega.Equal(int64(2)))
+	g.Expect(conns.Load()).To(gomega.Equal(int64(2)))
+}
+
+func TestKindsOfFailure(t *testing.T) {
+	cases := map[string]struct {
+		answer func(n int, w io.Writer, r *http.Request) bool
+		want   gtkind.Kind
+	}{
+		"closed before the answer": {func(int, io.Writer, *http.Request) bool { return false }, gtkind.Cut},
+		"cut in the body": {func(_ int, w io.Writer, _ *http.Request) bool {
+			_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf")
+			return false
+		}, gtkind.Cut},
+		"cut in a chunked body": {func(_ int, w io.Writer, _ *http.Request) bool {
+			_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n")
+			return false
+		}, gtkind.Cut},
+		"silent": {func(int, io.Writer, *http.Request) bool { return true }, gtkind.Silent},
+		"garbage": {func(_ int, w io.Writer, _ *http.Request) bool {
+			_, _ = io.WriteString(w, "garbage\r\n\r\n")
+			return false
+		}, gtkind.Cut},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			addr, _ := peer(t, c.answer)
+			p := newPool(time.Now)
+			defer p.Close()
+			start := time.Now()
+			_, err := get(context.Background(), p, addr, false)
+			g.Expect(err).To(gomega.HaveOccurred())
+			g.Expect(gtkind.Of(err).String()).To(gomega.Equal(c.want.String()), "%v", err)
+			g.Expect(time.Since(start)).To(gomega.BeNumerically("<", 2500*time.Millisecond))
+			g.Expect(p.Open(addr)).To(gomega.BeZero(), "the connection is gone")
+		})
+	}
+}
+
+func TestRefusedConnectionIsNotRun(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ln, _ := net.Listen("tcp", "127.0.0.1:0")
+	addr := ln.Addr().String()
+	ln.Close()
+	p := newPool(time.Now)
+	_, err := get(context.Background(), p, addr, false)
+	g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.Refused))
+	g.Expect(gtkind.Of(err).Row().Certainty()).To(gomega.Equal(gtkind.NotRun))
+}
+
+// tardy is a context whose timer is late: its deadline has passed before it
+// says so.
+type tardy struct {
+	context.Context
+	limit time.Time
+}
+
+// Deadline returns the limit.
+func (t tardy) Deadline() (time.Time, bool) { return t.limit, true }
+
+func TestDeadlineIsNotSilence(t *testing.T) {
+	g := gomega.NewWithT(t)
+	addr, _ := peer(t, func(int, io.Writer, *http.Request) bool { return true })
+	p := newPool(time.Now)
+	defer p.Close()
+	_, err := get(tardy{context.Background(), time.Now().Add(200 * time.Millisecond)}, p, addr, false)
+	g.Expect(gtkind.Of(err).String()).To(gomega.Equal(gtkind.Deadline.String()))
+}
+
+// A caller may go away at any moment of an exchange, also between two signs
+// of life.
+func TestCancellationIsNeverLost(t *testing.T) {
+	g := gomega.NewWithT(t)
+	addr, _ := peer(t, func(_ int, w io.Writer, _ *http.Request) bool {
+		for {
+			if _, err := fmt.Fprintf(w, "HTTP/1.1 102 Processing\r\n\r\n"); err != nil {
+				return false
+			}
+			<-time.After(20 * time.Millisecond)
+		}
+	})
+	p := newPool(time.Now)
+	defer p.Close()
+	for i := range 300 {
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(time.Duration(i)*time.Microsecond, cancel)
+		start := time.Now()
+		_, err := get(ctx, p, addr, false)
+		g.Expect(err).To(gomega.HaveOccurred())
+		g.Expect(time.Since(start)).To(gomega.BeNumerically("<", gtlive.Silence))
+		cancel()
+	}
+}
+
+// Signs of life keep a slow answer from counting as silent, and the deadline
+// ends the wait all the same.
+func TestSignsOfLife(t *testing.T) {
+	g := gomega.NewWithT(t)
+	over := make(chan struct{})
+	defer close(over)
+	addr, _ := peer(t, func(_ int, w io.Writer, _ *http.Request) bool {
+		for range 5 {
+			select {
+			case <-over:
+				return false
+			case <-time.After(gtlive.Beat):
+			}
+			if _, err := fmt.Fprintf(w, "HTTP/1.1 102 Processing\r\n\r\n"); err != nil {
+				return false
+			}
+		}
+		return whole(w)
+	})
+	p := newPool(time.Now)
+	defer p.Close()
+	body, err := get(context.Background(), p, addr, false)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(body).To(gomega.Equal("ok"))
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_, err = get(ctx, p, addr, false)
+	g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.Deadline))
+}
--- /dev/null
+++ b/io/connection/gttls/tls_test.go
@@ -0,0 +1,80 @@
+package gttls_test
+
+import (
+	"crypto/tls"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"godwittide/io/connection/gttls"
+	"godwittide/io/process/gtlab"
+)
+
+// issue writes a certificate of an authority of its own.
+func issue(t *testing.T, dir string) *gttls.Keys {
+	t.Helper()
+	g := gomega.NewWithT(t)
+	authority, err := gtlab.NewAuthority()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	files, err := authority.Issue(dir)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	return &gttls.Keys{Cert: files.Cert, Key: files.Key, CA: files.CA}
+}
+
+// greet opens a connection between two nodes and sends a byte each way.
+func greet(t *testing.T, server, client *tls.Config) error {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	done := make(chan error, 1)
+	go func() {
+		conn, err := tls.NewListener(ln, server).Accept()
+		if err == nil {
+			defer conn.Close()
+			_, err = conn.Read(make([]byte, 1))
+			_, _ = conn.Write([]byte("x"))
+		}
+		done <- err
+	}()
+	conn, err := tls.Dial("tcp", ln.Addr().String(), client)
+	if err == nil {
+		defer conn.Close()
+		_, _ = conn.Write([]byte("x"))
+		_, err = conn.Read(make([]byte, 1))
+	}
+	if serverErr := <-done; err == nil {
+		err = serverErr
+	}
+	return err
+}
+
+func TestOnlyNodesOfTheSameCAAreLetIn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ours, theirs := issue(t, t.TempDir()), issue(t, t.TempDir())
+	g.Expect(greet(t, ours.Config(), ours.Config())).To(gomega.Succeed())
+	g.Expect(greet(t, ours.Config(), theirs.Config())).NotTo(gomega.Succeed(), "a stranger")
+	g.Expect(greet(t, ours.Config(), &tls.Config{InsecureSkipVerify: true})).NotTo(gomega.Succeed(), "no certificate")
+	g.Expect(greet(t, theirs.Config(), ours.Config())).NotTo(gomega.Succeed(), "a strange server")
+}
+
+func TestChangedFilesAreReadAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	dir := t.TempDir()
+	ours := issue(t, dir)
+	g.Expect(ours.Check()).To(gomega.Succeed())
+	fresh := issue(t, dir)
+	later := time.Now().Add(2 * time.Second)
+	for _, f := range []string{ours.Cert, ours.Key, ours.CA} {
+		g.Expect(os.Chtimes(f, later, later)).To(gomega.Succeed())
+	}
+	g.Expect(greet(t, ours.Config(), fresh.Config())).To(gomega.Succeed())
+	g.Expect(os.WriteFile(ours.Cert, []byte("broken"), 0o600)).To(gomega.Succeed())
+	g.Expect(ours.Check()).To(gomega.Succeed(), "files that can't be read leave the old ones in use")
+	g.Expect((&gttls.Keys{Cert: ours.Cert, Key: ours.Key, CA: ours.CA}).Check()).NotTo(gomega.Succeed())
+}
--- /dev/null
+++ b/io/connection/gtwire/wire.go
@@ -0,0 +1,248 @@
+// Package gtwire encodes the facts that travel between nodes, and that stand
+// in the store, as JSON. The decisions know nothing of it: each message has a
+// pair of functions that turn a value of core into its message and back.
+//
+// # Usage
+//
+//	b, err := json.Marshal(gtwire.FromRecord(record))
+//	var m gtwire.Record
+//	err = json.Unmarshal(b, &m)
+//	record, err := m.Value()
+//
+// Value checks what came in: names and addresses have a bounded length, and
+// words from closed lists must be known.
+package gtwire
+
+import (
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"godwittide/core/process/gtmember"
+	"godwittide/core/request/gtonce"
+	"godwittide/core/version/gtdelta"
+	"godwittide/core/version/gtevidence"
+	"godwittide/core/version/gtmove"
+)
+
+// MaxName bounds the length of a name in a message, in bytes.
+const MaxName = 128
+
+// Record is a membership record.
+type Record struct {
+	Instance    string `json:"i"`
+	Zone        string `json:"z"`
+	Service     string `json:"s"`
+	Version     string `json:"v"`
+	Hop         string `json:"h"`
+	Peer        string `json:"p"`
+	Slots       int    `json:"n"`
+	Incarnation uint64 `json:"c"`
+	State       string `json:"t"`
+}
+
+// FromRecord returns the message of a record.
+func FromRecord(r gtmember.Record) Record {
+	return Record{
+		Instance: r.Instance(), Zone: r.Zone(), Service: r.Service(), Version: r.Version(), Hop: r.Hop(), Peer: r.Peer(),
+		Slots: r.Slots(), Incarnation: r.Incarnation(), State: r.State().String(),
+	}
+}
+
+// FromRecords returns the messages of several records.
+func FromRecords(list []gtmember.Record) []Record {
+	out := make([]Record, len(list))
+	for i, r := range list {
+		out[i] = FromRecord(r)
+	}
+	return out
+}
+
+// Value returns the record, or an error for one that can't be used.
+func (m Record) Value() (gtmember.Record, error) {
+	for _, s := range []string{m.Instance, m.Zone, m.Service, m.Version} {
+		if len(s) == 0 || len(s) > MaxName {
+			return gtmember.Record{}, errorx.IllegalFormat.New("record of %.40q has an empty or overlong name", m.Instance)
+		}
+	}
+	for _, a := range []string{m.Hop, m.Peer} {
+		if _, err := netip.ParseAddrPort(a); err != nil {
+			return gtmember.Record{}, errorx.IllegalFormat.New("record of %q has the address %.60q", m.Instance, a)
+		}
+	}
+	state, ok := gtmember.ParseState(m.State)
+	if !ok || m.Slots < 1 || m.Slots > 10000 {
+		return gtmember.Record{}, errorx.IllegalFormat.New("record of %q has an unknown state or number of slots", m.Instance)
+	}
+	r := gtmember.NewRecord(m.Instance, m.Zone, m.Hop, m.Peer).WithBackend(m.Service, m.Version, m.Slots)
+	return r.WithIncarnation(m.Incarnation).WithState(state), nil
+}
+
+// Delta is a change from one version of the configuration to the next.
+type Delta struct {
+	Base    int64             `json:"b"`
+	BaseSum string            `json:"bs"`
+	Version int64             `json:"v"`
+	Push    int64             `json:"p"`
+	Sum     string            `json:"s"`
+	Set     map[string]string `json:"set,omitempty"`
+	Removed []string          `json:"del,omitempty"`
+}
+
+// FromDelta returns the message of a delta.
+func FromDelta(d gtdelta.Delta) Delta {
+	return Delta{Base: d.Base(), BaseSum: d.BaseSum(), Version: d.Version(), Push: d.Push(), Sum: d.Sum(), Set: d.Set(), Removed: d.Removed()}
+}
+
+// Value returns the delta.
+func (m Delta) Value() gtdelta.Delta {
+	return gtdelta.NewDelta(m.Base, m.BaseSum, m.Version, m.Push, m.Sum, m.Set, m.Removed)
+}
+
+// Set is a whole version of the configuration.
+type Set struct {
+	Version int64             `json:"v"`
+	Push    int64             `json:"p"`
+	Sum     string            `json:"s"`
+	Files   map[string]string `json:"f"`
+}
+
+// FromSet returns the message of a set.
+func FromSet(s gtdelta.Set) Set {
+	return Set{Version: s.Version(), Push: s.Push(), Sum: s.Sum(), Files: s.Files()}
+}
+
+// Value returns the set, or an error if the files do not have its checksum.
+func (m Set) Value() (gtdelta.Set, error) {
+	s := gtdelta.NewSet(m.Version, m.Push, m.Files)
+	if s.Sum() != m.Sum {
+		return gtdelta.Set{}, errorx.IllegalFormat.New("snapshot of version %d has checksum %s, expected %s", m.Version, s.Sum(), m.Sum)
+	}
+	return s, nil
+}
+
+// Move is the state of a move.
+type Move struct {
+	ID      string    `json:"id"`
+	Seq     int64     `json:"n"`
+	Phase   string    `json:"p"`
+	Share   float64   `json:"s"`
+	Reason  string    `json:"why,omitempty"`
+	Started time.Time `json:"t0"`
+	Stepped time.Time `json:"t1"`
+	Ended   time.Time `json:"t2,omitzero"`
+	Rev     int64     `json:"r,omitempty"`
+}
+
+// FromMove returns the message of a move's state.
+func FromMove(s gtmove.State) Move {
+	return Move{
+		ID: s.ID(), Seq: s.Seq(), Phase: s.Phase().String(), Share: s.Share(), Reason: s.Reason(),
+		Started: s.Started(), Stepped: s.Stepped(), Ended: s.Ended(), Rev: s.Rev(),
+	}
+}
+
+// Value returns the state, or an error for one that can't be used.
+func (m Move) Value() (gtmove.State, error) {
+	phase, ok := gtmove.ParsePhase(m.Phase)
+	if !ok || m.ID == "" || len(m.ID) > 4*MaxName || m.Share < 0 || m.Share > 1 {
+		return gtmove.State{}, errorx.IllegalFormat.New("state of move %.60q can't be used", m.ID)
+	}
+	return gtmove.NewState(m.ID, m.Seq, phase, m.Share, m.Reason, m.Started, m.Stepped, m.Ended).WithRev(m.Rev), nil
+}
+
+// Halt is a node's finding that the new version of a move is bad.
+type Halt struct {
+	ID     string `json:"id"`
+	By     string `json:"by"`
+	Reason string `json:"why"`
+}
+
+// FromHalt returns the message of a halt.
+func FromHalt(h gtmove.Halt) Halt { return Halt{ID: h.ID(), By: h.By(), Reason: h.Reason()} }
+
+// Value returns the halt.
+func (m Halt) Value() (gtmove.Halt, error) {
+	if m.ID == "" || len(m.ID) > 4*MaxName || len(m.By) > MaxName {
+		return gtmove.Halt{}, errorx.IllegalFormat.New("halt of move %.60q can't be used", m.ID)
+	}
+	return gtmove.NewHalt(m.ID, m.By, m.Reason), nil
+}
+
+// Crash is a request that was in flight when a backend server crashed. Left is
+// how long it is still held against the request, in milliseconds.
+type Crash struct {
+	Print string `json:"p"`
+	Count int    `json:"n"`
+	Once  bool   `json:"o,omitempty"`
+	Left  int64  `json:"l"`
+}
+
+// FromCrash returns the message of a crash.
+func FromCrash(c gtonce.Crash, now time.Time) Crash {
+	return Crash{Print: strconv.FormatUint(c.Fingerprint(), 16), Count: c.Count(), Once: c.Once(), Left: c.Until().Sub(now).Milliseconds()}
+}
+
+// Value returns the crash.
+func (m Crash) Value(now time.Time) (gtonce.Crash, error) {
+	fingerprint, err := strconv.ParseUint(m.Print, 16, 64)
+	if err != nil {
+		return gtonce.Crash{}, errorx.IllegalFormat.Wrap(err, "read a crash")
+	}
+	return gtonce.NewCrash(fingerprint, m.Count, m.Once, now.Add(time.Duration(m.Left)*time.Millisecond)), nil
+}
+
+// Counts is what an instance counted on one route. Latency holds pairs of a
+// bucket and its count.
+type Counts struct {
+	Total   uint64   `json:"n"`
+	Failed  uint64   `json:"f,omitempty"`
+	Latency []uint64 `json:"l,omitempty"`
+}
+
+// Report is what an instance counted, by route.
+type Report struct {
+	Instance    string            `json:"i"`
+	Incarnation uint64            `json:"c"`
+	Version     string            `json:"v"`
+	Routes      map[string]Counts `json:"r"`
+}
+
+// FromReport returns the message of a report.
+func FromReport(r gtevidence.Report) Report {
+	m := Report{Instance: r.Instance(), Incarnation: r.Incarnation(), Version: r.Version(), Routes: map[string]Counts{}}
+	for route, c := range r.Routes() {
+		counts := Counts{Total: c.Total(), Failed: c.Failed()}
+		for i, n := range c.Latency() {
+			if n > 0 {
+				counts.Latency = append(counts.Latency, uint64(i), n)
+			}
+		}
+		m.Routes[route] = counts
+	}
+	return m
+}
+
+// Value returns the report, or an error for one that can't be used.
+func (m Report) Value() (gtevidence.Report, error) {
+	if m.Instance == "" || len(m.Instance) > MaxName || len(m.Routes) > gtevidence.MaxRoutes+1 {
+		return gtevidence.Report{}, errorx.IllegalFormat.New("report of %.40q can't be used", m.Instance)
+	}
+	routes := map[string]gtevidence.Counts{}
+	for route, c := range m.Routes {
+		var latency [gtevidence.Buckets]uint64
+		if len(c.Latency)%2 != 0 {
+			return gtevidence.Report{}, errorx.IllegalFormat.New("report of %q has an odd number of latency figures", m.Instance)
+		}
+		for i := 0; i < len(c.Latency); i += 2 {
+			if c.Latency[i] >= gtevidence.Buckets {
+				return gtevidence.Report{}, errorx.IllegalFormat.New("report of %q has an unknown latency bucket", m.Instance)
+			}
+			latency[c.Latency[i]] = c.Latency[i+1]
+		}
+		routes[route] = gtevidence.NewCounts(c.Total, c.Failed, latency[:])
+	}
+	return gtevidence.NewReport(m.Instance, m.Incarnation, m.Version, routes), nil
+}
--- /dev/null
+++ b/io/connection/gtwire/wire_test.go
@@ -0,0 +1,76 @@
+package gtwire
+
+import (
+	"encoding/json"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"godwittide/core/process/gtmember"
+	"godwittide/core/version/gtevidence"
+)
+
+func TestRecordsSurviveTheWire(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := gtmember.NewRecord("i", "z", "127.0.0.1:1", "[::1]:2").WithBackend("s", "1", 4).WithState(gtmember.Leaving).WithIncarnation(1 << 60)
+	b, err := json.Marshal(FromRecord(r))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	var m Record
+	g.Expect(json.Unmarshal(b, &m)).To(gomega.Succeed())
+	back, err := m.Value()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(back).To(gomega.Equal(r))
+
+	ledger := &gtevidence.Ledger{}
+	ledger.Add("a", gtevidence.NewOutcome(false, 3*time.Millisecond))
+	ledger.Add("a", gtevidence.NewOutcome(true, time.Second))
+	report := ledger.Report("i", 3, "2")
+	b, _ = json.Marshal(FromReport(report))
+	var rm Report
+	g.Expect(json.Unmarshal(b, &rm)).To(gomega.Succeed())
+	again, err := rm.Value()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(again).To(gomega.Equal(report))
+}
+
+// What a peer sends either gives a value that encodes to the same message, or
+// an error.
+func FuzzValues(f *testing.F) {
+	for _, s := range []string{
+		`{"i":"a","z":"z","s":"s","v":"1","h":"127.0.0.1:1","p":"127.0.0.1:2","n":1,"c":1,"t":"ready"}`,
+		`{"id":"m.s.1.2","n":1,"p":"running","s":0.5}`, `{"p":"ff","n":2,"l":1000}`,
+		`{"i":"a","c":1,"v":"1","r":{"x":{"n":1,"l":[0,1]}}}`, `{"i":"a","r":{"x":{"l":[900,1,3]}}}`, `{"v":1,"s":"x","f":{"a":"b"}}`, `null`, `[]`,
+	} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		var r Record
+		if json.Unmarshal([]byte(text), &r) == nil {
+			if v, err := r.Value(); err == nil && !reflect.DeepEqual(FromRecord(v), r) {
+				t.Fatalf("record %q changed on its way", text)
+			}
+		}
+		var m Move
+		if json.Unmarshal([]byte(text), &m) == nil {
+			_, _ = m.Value()
+		}
+		var c Crash
+		if json.Unmarshal([]byte(text), &c) == nil {
+			_, _ = c.Value(time.Unix(0, 0))
+		}
+		var rep Report
+		if json.Unmarshal([]byte(text), &rep) == nil {
+			_, _ = rep.Value()
+		}
+		var set Set
+		if json.Unmarshal([]byte(text), &set) == nil {
+			_, _ = set.Value()
+		}
+		var h Halt
+		if json.Unmarshal([]byte(text), &h) == nil {
+			_, _ = h.Value()
+		}
+	})
+}
