--- /dev/null
+++ b/io/process/gtnode/admin.go
@@ -0,0 +1,152 @@
+package gtnode
+
+import (
+	"encoding/json"
+	"log"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"godwittide/core/process/gtduty"
+	"godwittide/core/process/gtmember"
+	"godwittide/core/request/gtkind"
+	"godwittide/io/connection/gtwire"
+)
+
+// syscallConn is the raw connection that a dialer hands out.
+type syscallConn = syscall.RawConn
+
+// Status is what the admin address tells of a node.
+type Status struct {
+	Instance string       `json:"instance"`
+	Zone     string       `json:"zone"`
+	Service  string       `json:"service"`
+	Backend  string       `json:"backend"`
+	State    string       `json:"state"`
+	Version  int64        `json:"version"`
+	Sum      string       `json:"sum"`
+	Since    time.Time    `json:"since"`
+	Members  int          `json:"members"`
+	Links    int          `json:"links"`
+	Busy     int          `json:"busy"`
+	Limit    int          `json:"limit"`
+	Sent     int64        `json:"sent"`
+	Received int64        `json:"received"`
+	Watching bool         `json:"watching"`
+	Moves    []MoveStatus `json:"moves"`
+}
+
+// MoveStatus is what is known of a move.
+type MoveStatus struct {
+	Name    string    `json:"name"`
+	Service string    `json:"service"`
+	From    string    `json:"from"`
+	To      string    `json:"to"`
+	By      time.Time `json:"by"`
+	Phase   string    `json:"phase"`
+	Share   float64   `json:"share"`
+	Reason  string    `json:"reason"`
+	Late    bool      `json:"late"`
+	Started time.Time `json:"started,omitzero"`
+	Ended   time.Time `json:"ended,omitzero"`
+}
+
+// Spread is how far the version that is in force here has got.
+type Spread struct {
+	Version int64               `json:"version"`
+	Asked   int                 `json:"asked"`
+	Reached int                 `json:"reached"`
+	Zones   map[string]ZoneStat `json:"zones"`
+}
+
+// ZoneStat counts the nodes of a zone that were asked and that have the
+// version.
+type ZoneStat struct {
+	Asked   int `json:"asked"`
+	Reached int `json:"reached"`
+}
+
+func (n *Node) adminMux() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, n.Status()) })
+	mux.HandleFunc("GET /members", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, gtwire.FromRecords(n.table.All())) })
+	mux.HandleFunc("GET /spread", func(w http.ResponseWriter, r *http.Request) { writeJSON(w, n.spread(r.Context())) })
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { _ = n.metrics.Write(w) })
+	mux.HandleFunc("POST /drain", func(w http.ResponseWriter, _ *http.Request) {
+		n.Drain()
+		w.WriteHeader(http.StatusAccepted)
+	})
+	return mux
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// Status returns what the node knows of itself.
+func (n *Node) Status() Status {
+	self := n.table.Self()
+	current := n.holder.Current()
+	load := n.gate.Load()
+	sent, received := n.overlay.Bytes()
+	return Status{
+		Instance: self.Instance(), Zone: self.Zone(), Service: self.Service(), Backend: self.Version(), State: self.State().String(),
+		Version: current.Set().Version(), Sum: current.Config().Sum(), Since: current.At(),
+		Members: n.table.Len(), Links: n.overlay.Links(), Busy: load.Busy(), Limit: load.Limit(),
+		Sent: sent, Received: received, Watching: n.vault != nil && n.watchRank() < gtduty.Watchers, Moves: n.moveStatus(),
+	}
+}
+
+// Started says whether the node has started and serves.
+func (n *Node) Started() bool { return n.running.Load() }
+
+// Member returns the record that the node holds of an instance.
+func (n *Node) Member(instance string) (gtmember.Record, bool) { return n.table.Get(instance) }
+
+// Ready returns the number of instances that the node knows to be ready.
+func (n *Node) Ready() int { return n.table.Count(gtmember.Ready) }
+
+func (n *Node) moveStatus() []MoveStatus {
+	list := []MoveStatus{}
+	now := n.timer.Time()
+	for _, m := range n.holder.Current().Config().Moves() {
+		v := MoveStatus{Name: m.Name(), Service: m.Service(), From: m.From(), To: m.To(), By: m.By(), Phase: "waiting", Reason: "no backend server of the new version is ready"}
+		if s, ok := n.board.State(m.ID()); ok {
+			v.Phase, v.Share, v.Reason, v.Started, v.Ended = s.Phase().String(), n.board.Share(m), s.Reason(), s.Started(), s.Ended()
+		}
+		if h, ok := n.board.Halted(m.ID()); ok && v.Phase != "taken back" {
+			v.Phase, v.Reason = "halted", "found by "+h.By()+": "+h.Reason()
+		}
+		v.Late = v.Ended.IsZero() && now.After(m.By()) || v.Phase != "taken back" && v.Ended.After(m.By())
+		list = append(list, v)
+	}
+	return list
+}
+
+// answered counts an answer to a caller.
+func (n *Node) answered(k gtkind.Kind, d time.Duration) {
+	n.scope.Tagged(map[string]string{"kind": k.String()}).Counter("answers").Inc(1)
+	n.scope.Timer("answer").Record(d)
+}
+
+// gauges brings the gauges up to date.
+func (n *Node) gauges() {
+	s := n.Status()
+	n.scope.Gauge("members").Update(float64(s.Members))
+	n.scope.Gauge("links").Update(float64(s.Links))
+	n.scope.Gauge("limit").Update(float64(s.Limit))
+	n.scope.Gauge("busy").Update(float64(s.Busy))
+	n.scope.Gauge("refused").Update(float64(n.gate.Refused()))
+	n.scope.Gauge("control_sent_bytes").Update(float64(s.Sent))
+	n.scope.Gauge("control_received_bytes").Update(float64(s.Received))
+	n.scope.Gauge("keys").Update(float64(n.once.Len()))
+	n.scope.Gauge("crashes").Update(float64(n.crashes.Len()))
+}
+
+// quietLog takes what the HTTP servers log, which callers can bring about.
+func quietLog(l zerolog.Logger) *log.Logger {
+	return log.New(l.With().Str("level", "debug").Logger(), "", 0)
+}
--- /dev/null
+++ b/io/process/gtnode/backend.go
@@ -0,0 +1,174 @@
+package gtnode
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"godwittide/core/process/gtmember"
+	"godwittide/core/request/gtkind"
+	"godwittide/io/connection/gtpool"
+)
+
+const (
+	// probeEvery is the period in which the backend server is looked for.
+	probeEvery = 300 * time.Millisecond
+	// probeLimit bounds one attempt to connect to it.
+	probeLimit = time.Second
+	// probeMisses is the number of attempts without an answer after which the
+	// backend server counts as down.
+	probeMisses = 3
+)
+
+// backend is what the node knows of its backend server.
+type backend struct {
+	mu     sync.Mutex
+	state  gtmember.State
+	ready  time.Time
+	misses int
+}
+
+// turn notes the state, and says whether it is another one than before.
+func (b *backend) turn(s gtmember.State) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.state == s {
+		return false
+	}
+	b.state = s
+	return true
+}
+
+func (b *backend) current() gtmember.State {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.state
+}
+
+// readyTime returns when the backend server last became ready.
+func (b *backend) readyTime() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ready
+}
+
+func (b *backend) reached() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.misses = 0
+}
+
+func (b *backend) setReady(at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ready = at
+}
+
+func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
+	d := net.Dialer{Timeout: gtpool.DialLimit, KeepAlive: 15 * time.Second}
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+// watchBackend follows whether the backend server takes connections. Its
+// health endpoint is not asked: what it says may lag or mislead.
+func (n *Node) watchBackend(ctx context.Context) {
+	tick := n.timer.Every(probeEvery, 0.1)
+	defer tick.Stop()
+	n.probe(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C():
+			n.probe(ctx)
+		}
+	}
+}
+
+// probe connects to the backend server and sets the node's state. It says
+// whether the backend server is there.
+func (n *Node) probe(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeLimit)
+	defer cancel()
+	conn, err := dialTCP(ctx, n.Settings.Backend.Address)
+	if err == nil {
+		_ = conn.Close()
+		n.backend.reached()
+		n.setState(gtmember.Ready)
+		return true
+	}
+	if !n.backend.missed(err) {
+		return true
+	}
+	if n.table.Self().State() == gtmember.Ready {
+		n.setState(gtmember.Down)
+	}
+	return false
+}
+
+// missed says whether a failed attempt to connect means that the backend
+// server is down: at once if it was refused, or else after several in a row,
+// since an attempt also takes long where processor time is short.
+func (b *backend) missed(err error) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.misses++
+	return errors.Is(err, syscall.ECONNREFUSED) || b.misses >= probeMisses
+}
+
+// checkDown says whether the backend server refuses connections now.
+func (n *Node) checkDown(ctx context.Context) bool { return !n.probe(ctx) }
+
+// setState opens or closes the gate as the backend server or the node turns to
+// a state, and tells the peers. That the server is down is told only as often
+// as the damper allows; the gate refuses at once. A node that is leaving does
+// not become ready again.
+func (n *Node) setState(s gtmember.State) {
+	n.selfMu.Lock()
+	defer n.selfMu.Unlock()
+	announced := n.table.Self().State()
+	if announced >= gtmember.Leaving && s < announced {
+		return
+	}
+	if n.backend.turn(s) {
+		if s == gtmember.Ready {
+			n.backend.setReady(n.timer.Time())
+			n.gate.Cool()
+		}
+		n.gate.Close(n.closedKind(s))
+		n.own.Forget(n.Settings.Backend.Address)
+		n.Log.Info().Stringer("state", s).Msg("backend: state changed")
+	}
+	if announced == s || s == gtmember.Down && !n.damper.Allow() {
+		return
+	}
+	n.overlay.Announce(n.table.Turn(s))
+}
+
+// closedKind returns the kind that the gate refuses with in a state, or None.
+func (n *Node) closedKind(s gtmember.State) gtkind.Kind {
+	switch {
+	case s >= gtmember.Leaving:
+		return gtkind.Leaving
+	case s != gtmember.Ready:
+		return gtkind.Down
+	case n.holder.Current().Config().ZoneOut(n.Settings.Node.Zone):
+		return gtkind.Leaving
+	default:
+		return gtkind.None
+	}
+}
+
+// zoneMoved follows the node's own availability zone as operators take it out
+// and bring it back. Backend servers may have turned cold meanwhile.
+func (n *Node) zoneMoved(wasOut, isOut bool) {
+	n.selfMu.Lock()
+	defer n.selfMu.Unlock()
+	if wasOut && !isOut {
+		n.gate.Cool()
+	}
+	n.gate.Close(n.closedKind(n.backend.current()))
+}
--- /dev/null
+++ b/io/process/gtnode/serve.go
@@ -0,0 +1,204 @@
+package gtnode
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"golang.org/x/sys/unix"
+
+	"godwittide/core/connection/gtlive"
+	"godwittide/io/connection/gtpool"
+)
+
+const (
+	// idleLimit is how long a caller's idle connection is kept. It is longer
+	// than any client of this system keeps one.
+	idleLimit = 2 * time.Minute
+	// userTimeout is how long sent bytes may go unacknowledged before the
+	// kernel gives a connection up.
+	userTimeout = gtlive.Silence
+	// peerLimit is the most control connections at a time.
+	peerLimit = 256
+)
+
+// listeners are the open ports of a node.
+type listeners struct {
+	edge, hop, peer, admin net.Listener
+}
+
+// servers are the HTTP servers of a node.
+type servers struct {
+	edge, hop, admin *http.Server
+	peer             net.Listener
+}
+
+func (n *Node) listen() (listeners, error) {
+	var l listeners
+	ports := []struct {
+		addr   string
+		secure bool
+		out    *net.Listener
+	}{
+		{n.Settings.Listen.Edge, false, &l.edge},
+		{n.Settings.Listen.Hop, true, &l.hop},
+		{n.Settings.Listen.Peer, true, &l.peer},
+		{n.Settings.Listen.Admin, false, &l.admin},
+	}
+	for _, p := range ports {
+		ln, err := net.Listen("tcp", p.addr)
+		if err != nil {
+			return l, errorx.Decorate(err, "listen on %s", p.addr)
+		}
+		if p.secure && n.keys != nil {
+			ln = tls.NewListener(ln, n.keys.Config())
+		}
+		*p.out = ln
+	}
+	return l, nil
+}
+
+// dialNode opens a connection to another node, secured if there are keys.
+func (n *Node) dialNode(ctx context.Context, addr string) (net.Conn, error) {
+	dial := n.Dial
+	if dial == nil {
+		dial = dialPeer
+	}
+	conn, err := dial(ctx, addr)
+	if err != nil || n.keys == nil {
+		return conn, err
+	}
+	secure := tls.Client(conn, n.keys.Config())
+	if err := secure.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, errorx.Decorate(err, "secure the connection to %s", addr)
+	}
+	return secure, nil
+}
+
+func dialPeer(ctx context.Context, addr string) (net.Conn, error) {
+	d := net.Dialer{Timeout: gtpool.DialLimit, Control: control}
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+// control lets the kernel give up connections that the network has lost.
+func control(_, _ string, c syscallConn) error {
+	var err error
+	cerr := c.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout/time.Millisecond))
+	})
+	return errors.Join(cerr, err)
+}
+
+func (n *Node) newServer(h http.Handler) *http.Server {
+	limit := n.Settings.Limit
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: time.Duration(limit.Slow),
+		ReadTimeout:       time.Duration(limit.Slow),
+		IdleTimeout:       idleLimit,
+		MaxHeaderBytes:    limit.Head,
+		ErrorLog:          nil,
+	}
+}
+
+// serve starts the servers.
+func (n *Node) serve(ctx context.Context, l listeners) {
+	n.server.edge = n.newServer(n.closing(n.edge))
+	n.server.hop = n.newServer(n.hop)
+	n.server.admin = n.newServer(n.adminMux())
+	n.server.peer = l.peer
+	edge := &boundListener{Listener: l.edge, most: int64(n.Settings.Limit.Callers)}
+	for _, s := range []struct {
+		server *http.Server
+		ln     net.Listener
+	}{{n.server.edge, edge}, {n.server.hop, l.hop}, {n.server.admin, l.admin}} {
+		s.server.ErrorLog = quietLog(n.Log)
+		n.wg.Go(func() {
+			if err := s.server.Serve(s.ln); !errors.Is(err, http.ErrServerClosed) {
+				n.Log.Error().Err(err).Msg("node: server ended")
+			}
+		})
+	}
+	n.wg.Go(func() { n.acceptPeers(ctx, &boundListener{Listener: l.peer, most: peerLimit}) })
+}
+
+// closing asks callers to close their connections while the node drains.
+func (n *Node) closing(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+func (n *Node) acceptPeers(ctx context.Context, ln net.Listener) {
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		n.wg.Go(func() { n.overlay.Accept(ctx, conn) })
+	}
+}
+
+// shutdown stops the servers once nothing is in flight.
+func (s *servers) shutdown(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	for _, server := range []*http.Server{s.edge, s.hop, s.admin} {
+		if server.Shutdown(ctx) != nil {
+			_ = server.Close()
+		}
+	}
+	_ = s.peer.Close()
+}
+
+// close ends the servers and their connections at once.
+func (s *servers) close() {
+	for _, server := range []*http.Server{s.edge, s.hop, s.admin} {
+		_ = server.Close()
+	}
+	_ = s.peer.Close()
+}
+
+// boundListener closes connections beyond a number at once.
+type boundListener struct {
+	net.Listener
+	most int64
+	open atomic.Int64
+}
+
+// Accept waits for the next connection that there is room for.
+func (l *boundListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.open.Add(1) <= l.most {
+			return &boundConn{Conn: conn, owner: l}, nil
+		}
+		l.open.Add(-1)
+		_ = conn.Close()
+	}
+}
+
+type boundConn struct {
+	net.Conn
+	owner *boundListener
+	once  sync.Once
+}
+
+// Close closes the connection and makes room for another.
+func (c *boundConn) Close() error {
+	c.once.Do(func() { c.owner.open.Add(-1) })
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/io/process/gtnode/watch.go
@@ -0,0 +1,287 @@
+package gtnode
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"godwittide/core/process/gtaccept"
+	"godwittide/core/process/gtduty"
+	"godwittide/core/process/gtmember"
+	"godwittide/core/process/gttimer"
+	"godwittide/core/version/gtdelta"
+	"godwittide/io/process/gtstore"
+	"godwittide/io/version/gtfolder"
+	"godwittide/io/version/gtsnapshot"
+)
+
+const (
+	// dutyEvery is the period in which a node looks whether it is its turn to
+	// watch the store.
+	dutyEvery = time.Second
+	// pollEvery is the period in which a watching node reads the state even if
+	// its watch says nothing, since a watch may have died unnoticed.
+	pollEvery = 2 * time.Second
+	// storeBackoffFirst and storeBackoffMax bound the wait after a failed call.
+	storeBackoffFirst = 250 * time.Millisecond
+	storeBackoffMax   = 5 * time.Second
+	// contactTTL is how long a first contact stands in the store.
+	contactTTL = 30 * time.Second
+	// settleTime is how long a node listens to its peers after its start before
+	// it turns to the store: they may know more than the store does.
+	settleTime = 2 * time.Second
+	// maxDelayRank bounds the wait of acceptors of a low rank.
+	maxDelayRank = 3
+)
+
+// watchStore takes its turn at watching the store for the zone.
+func (n *Node) watchStore(ctx context.Context) {
+	// A node that has just started knows few others, and would take itself for
+	// the first in rank.
+	if n.timer.Wait(ctx, settleTime) != nil {
+		return
+	}
+	tick := n.timer.Every(dutyEvery, 0.2)
+	defer tick.Stop()
+	var mine *turn
+	for {
+		due := n.watchRank() < gtduty.Watchers && !n.leaving.Load()
+		if due && mine == nil {
+			mine = n.beginTurn(ctx)
+		}
+		if !due && mine != nil {
+			mine.end()
+			mine = nil
+		}
+		select {
+		case <-ctx.Done():
+			if mine != nil {
+				mine.end()
+			}
+			return
+		case <-tick.C():
+		}
+	}
+}
+
+// turn is a time in which the node watches the store.
+type turn struct {
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+func (n *Node) beginTurn(ctx context.Context) *turn {
+	ctx, cancel := context.WithCancel(ctx)
+	t := &turn{cancel: cancel, done: make(chan struct{})}
+	n.wg.Go(func() { n.watchTurn(ctx, t.done) })
+	return t
+}
+
+func (t *turn) end() {
+	t.cancel()
+	<-t.done
+}
+
+func (n *Node) watchRank() int {
+	return gtduty.Rank("watch", n.Settings.Node.Instance, n.table.Zone(n.Settings.Node.Zone))
+}
+
+// acceptRank returns this node's rank among all watching nodes.
+func (n *Node) acceptRank() int {
+	var watchers []gtmember.Record
+	for zone := range n.table.Zones() {
+		ranked := gtduty.Ranked("watch", n.table.Zone(zone))
+		watchers = append(watchers, ranked[:min(gtduty.Watchers, len(ranked))]...)
+	}
+	return gtduty.Rank("accept", n.Settings.Node.Instance, watchers)
+}
+
+// watchTurn watches the store until ctx ends.
+func (n *Node) watchTurn(ctx context.Context, done chan struct{}) {
+	defer close(done)
+	n.Log.Info().Msg("watch: this node watches the store")
+	changed := make(chan struct{}, 1)
+	n.wg.Go(func() { n.keepContact(ctx) })
+	poll := n.timer.Every(pollEvery, 0.2)
+	defer poll.Stop()
+	failures := 0
+	var watching bool
+	for ctx.Err() == nil {
+		state, err := n.vault.Read(ctx)
+		if err == nil {
+			if !watching {
+				watching = true
+				n.wg.Go(func() { n.follow(ctx, state.Rev(), changed) })
+			}
+			err = n.act(ctx, state)
+		}
+		if err != nil && ctx.Err() == nil {
+			failures++
+			n.scope.Counter("store_failures").Inc(1)
+			n.Log.Info().Err(err).Int("failures", failures).Msg("watch: store call failed")
+			_ = n.timer.Wait(ctx, storeBackoff(failures))
+			continue
+		}
+		failures = 0
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-poll.C():
+		}
+	}
+}
+
+func storeBackoff(failures int) time.Duration {
+	return gttimer.Backoff(failures, storeBackoffFirst, storeBackoffMax, rand.Float64())
+}
+
+// follow keeps a watch on the state and says when it changed.
+func (n *Node) follow(ctx context.Context, after int64, changed chan struct{}) {
+	key, end := n.vault.Watched()
+	failures := 0
+	for ctx.Err() == nil {
+		start := n.timer.Time()
+		err := n.Store.Watch(ctx, key, end, after, func(kvs []gtstore.KV) {
+			for _, kv := range kvs {
+				after = max(after, kv.Rev())
+			}
+			select {
+			case changed <- struct{}{}:
+			default:
+			}
+		})
+		if failures++; n.timer.Time().Sub(start) > storeBackoffMax {
+			failures = 1
+		}
+		if ctx.Err() == nil {
+			n.Log.Debug().Err(err).Msg("watch: watch ended")
+			_ = n.timer.Wait(ctx, storeBackoff(failures))
+			// The store may have lost revisions; polling finds the rest.
+			after = 0
+			if s, err := n.vault.Read(ctx); err == nil {
+				after = s.Rev()
+			}
+		}
+	}
+}
+
+// keepContact lists this node as a first contact. The lease is only a hint:
+// a contact that has lapsed or is stale costs a failed attempt, no more.
+func (n *Node) keepContact(ctx context.Context) {
+	tick := n.timer.Every(contactTTL/3, 0.2)
+	defer tick.Stop()
+	var lease int64
+	for {
+		if lease == 0 || n.Store.Keep(ctx, lease) != nil {
+			lease = 0
+			if id, err := n.Store.Grant(ctx, contactTTL); err == nil {
+				if n.vault.PutContact(ctx, n.Settings.Node.Zone, n.Settings.Node.Instance, n.Settings.Listen.Peer, id) == nil {
+					lease = id
+				}
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C():
+		}
+	}
+}
+
+// act does what the state calls for, once.
+func (n *Node) act(ctx context.Context, state gtsnapshot.State) error {
+	for _, m := range state.Moves() {
+		if n.board.Merge(m) {
+			n.overlay.AnnounceMove(m)
+		}
+	}
+	own := n.holder.Current().Set()
+	action := gtaccept.Decide(state.View(), own)
+	if action == gtaccept.Nothing {
+		return nil
+	}
+	if action == gtaccept.Load {
+		set, err := n.vault.Load(ctx, state.View().Record(), own)
+		if err != nil {
+			return err
+		}
+		return n.installSet(set)
+	}
+	if rank := min(n.acceptRank(), maxDelayRank); rank > 0 {
+		if err := n.timer.Wait(ctx, gtaccept.Delay(rank)); err != nil {
+			return err
+		}
+		fresh, err := n.vault.Read(ctx)
+		if err != nil {
+			return err
+		}
+		state, own = fresh, n.holder.Current().Set()
+		if action = gtaccept.Decide(state.View(), own); action == gtaccept.Load || action == gtaccept.Nothing {
+			return n.act(ctx, state)
+		}
+	}
+	err := n.write(ctx, action, state, own)
+	if errors.Is(err, gtsnapshot.ErrConflict) {
+		n.Log.Debug().Msg("watch: somebody else was first")
+		return nil
+	}
+	return err
+}
+
+// write accepts, refuses or restores.
+func (n *Node) write(ctx context.Context, action gtaccept.Action, state gtsnapshot.State, own gtdelta.Set) error {
+	self := n.Settings.Node.Instance
+	if action == gtaccept.Restore {
+		n.Log.Error().Int64("store", state.View().Record().Version()).Int64("own", own.Version()).Msg("watch: store lost a version, putting it back")
+		return n.vault.Restore(ctx, state, own, self)
+	}
+	files, err := n.vault.Files(ctx)
+	if err != nil {
+		return err
+	}
+	push := state.View().Head().Seq()
+	if action == gtaccept.Renumber {
+		n.Log.Error().Int64("version", own.Version()).Msg("watch: store holds other files under this version, accepting them anew")
+		push = max(push, state.View().Record().Push())
+	}
+	if _, problems := n.parser.Merge(files); len(problems) > 0 {
+		texts := gtfolder.Texts(problems)
+		n.Log.Warn().Int64("push", push).Str("first", texts[0]).Msg("watch: push refused")
+		return n.vault.Refuse(ctx, state, self, texts)
+	}
+	next := gtdelta.NewSet(own.Version()+1, push, files)
+	if err := n.vault.Accept(ctx, state, own, next, self); err != nil {
+		return err
+	}
+	n.Log.Info().Int64("version", next.Version()).Int64("push", push).Msg("watch: push accepted")
+	return n.installSet(next)
+}
+
+// installSet merges a version and puts it in force, if it is higher than the
+// one in force.
+func (n *Node) installSet(set gtdelta.Set) error {
+	n.install.Lock()
+	defer n.install.Unlock()
+	old := n.holder.Current()
+	if set.Version() <= old.Set().Version() {
+		return nil
+	}
+	cfg, problems := n.parser.Merge(set.Files())
+	if len(problems) > 0 {
+		return errorx.IllegalFormat.New("version %d can't be applied: %s", set.Version(), problems[0])
+	}
+	if !n.holder.Offer(set, cfg) {
+		return nil
+	}
+	zone := n.Settings.Node.Zone
+	if was, is := old.Config().ZoneOut(zone), cfg.ZoneOut(zone); was != is {
+		n.zoneMoved(was, is)
+	}
+	n.scope.Gauge("version").Update(float64(set.Version()))
+	n.Log.Info().Int64("version", set.Version()).Str("sum", cfg.Sum()).Msg("config: version in force")
+	n.overlay.AnnounceVersion()
+	return nil
+}
--- /dev/null
+++ b/io/process/gtstore/etcd.go
@@ -0,0 +1,264 @@
+package gtstore
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+// The messages of the etcd v3 JSON gateway, as published in its API reference:
+// keys and values are base64, 64-bit numbers are strings.
+type (
+	// EtcdKV is a key with its value.
+	EtcdKV struct {
+		Key            []byte `json:"key,omitempty"`
+		Value          []byte `json:"value,omitempty"`
+		CreateRevision int64  `json:"create_revision,string,omitempty"`
+		ModRevision    int64  `json:"mod_revision,string,omitempty"`
+		Lease          int64  `json:"lease,string,omitempty"`
+	}
+	// EtcdHeader stands in every answer.
+	EtcdHeader struct {
+		Revision int64 `json:"revision,string,omitempty"`
+	}
+	// EtcdRange is the body of /v3/kv/range.
+	EtcdRange struct {
+		Key      []byte `json:"key"`
+		RangeEnd []byte `json:"range_end,omitempty"`
+	}
+	// EtcdRangeAnswer is its answer.
+	EtcdRangeAnswer struct {
+		Header EtcdHeader `json:"header"`
+		KVs    []EtcdKV   `json:"kvs,omitempty"`
+	}
+	// EtcdCompare is one comparison of a transaction.
+	EtcdCompare struct {
+		Key         []byte `json:"key"`
+		Result      string `json:"result"`
+		Target      string `json:"target"`
+		ModRevision int64  `json:"mod_revision,string"`
+	}
+	// EtcdPut is a write.
+	EtcdPut struct {
+		Key   []byte `json:"key"`
+		Value []byte `json:"value,omitempty"`
+		Lease int64  `json:"lease,string,omitempty"`
+	}
+	// EtcdOp is a write or a deletion of a transaction.
+	EtcdOp struct {
+		Put    *EtcdPut   `json:"request_put,omitempty"`
+		Delete *EtcdRange `json:"request_delete_range,omitempty"`
+	}
+	// EtcdTxn is the body of /v3/kv/txn.
+	EtcdTxn struct {
+		Compare []EtcdCompare `json:"compare,omitempty"`
+		Success []EtcdOp      `json:"success,omitempty"`
+	}
+	// EtcdTxnAnswer is its answer.
+	EtcdTxnAnswer struct {
+		Header    EtcdHeader `json:"header"`
+		Succeeded bool       `json:"succeeded,omitempty"`
+	}
+	// EtcdLease is the body and the answer of the lease calls.
+	EtcdLease struct {
+		ID  int64 `json:"ID,string,omitempty"`
+		TTL int64 `json:"TTL,string,omitempty"`
+	}
+	// EtcdKept is the answer of /v3/lease/keepalive.
+	EtcdKept struct {
+		Result EtcdLease `json:"result"`
+	}
+	// EtcdWatch is the body of /v3/watch.
+	EtcdWatch struct {
+		Create EtcdWatchCreate `json:"create_request"`
+	}
+	// EtcdWatchCreate asks for a watch.
+	EtcdWatchCreate struct {
+		Key           []byte `json:"key"`
+		RangeEnd      []byte `json:"range_end,omitempty"`
+		StartRevision int64  `json:"start_revision,string,omitempty"`
+	}
+	// EtcdEvent is one change.
+	EtcdEvent struct {
+		Type string `json:"type,omitempty"`
+		KV   EtcdKV `json:"kv"`
+	}
+	// EtcdWatchResult is one message of a watch's stream.
+	EtcdWatchResult struct {
+		Result struct {
+			Header   EtcdHeader  `json:"header"`
+			Created  bool        `json:"created,omitempty"`
+			Canceled bool        `json:"canceled,omitempty"`
+			Events   []EtcdEvent `json:"events,omitempty"`
+		} `json:"result"`
+	}
+)
+
+const (
+	// callLimit bounds one call other than a watch.
+	callLimit = 3 * time.Second
+	// maxReply bounds the bytes of one answer.
+	maxReply = 64 << 20
+	// watchSilence is how long a watch may be silent before it is made anew,
+	// since a watch that has died looks like one with nothing to say.
+	watchSilence = 20 * time.Second
+)
+
+// Client returns an HTTP client for calls to the store.
+func Client() *http.Client {
+	dialer := net.Dialer{Timeout: time.Second}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second,
+		ResponseHeaderTimeout: callLimit,
+	}}
+}
+
+// Etcd returns a store that speaks the etcd v3 JSON gateway at the endpoint.
+func Etcd(endpoint string, client *http.Client) *Store {
+	c := &etcd{endpoint: strings.TrimSuffix(endpoint, "/"), client: client}
+	return &Store{Range: c.rangeKeys, Txn: c.txn, Grant: c.grant, Keep: c.keep, Watch: c.watch}
+}
+
+type etcd struct {
+	endpoint string
+	client   *http.Client
+}
+
+func (c *etcd) call(ctx context.Context, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	resp, err := c.post(ctx, path, in)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReply)).Decode(out); err != nil {
+		return errorx.Decorate(err, "read the store's answer to %s", path)
+	}
+	return nil
+}
+
+func (c *etcd) post(ctx context.Context, path string, in any) (*http.Response, error) {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return nil, errorx.Decorate(err, "encode %s", path)
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, c.endpoint+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errorx.Decorate(err, "call the store")
+	}
+	r.Header.Set("Content-Type", "application/json")
+	// A body that can't be read again keeps the transport from resending a
+	// write whose answer was lost.
+	r.GetBody = nil
+	resp, err := c.client.Do(r)
+	if err != nil {
+		return nil, errorx.Decorate(err, "call the store")
+	}
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, 512))
+		resp.Body.Close()
+		return nil, errorx.ExternalError.New("store answered %s to %s: %s", resp.Status, path, bytes.TrimSpace(text))
+	}
+	return resp, nil
+}
+
+func (c *etcd) rangeKeys(ctx context.Context, key, end string) (Answer, error) {
+	var out EtcdRangeAnswer
+	if err := c.call(ctx, "/v3/kv/range", EtcdRange{Key: []byte(key), RangeEnd: []byte(end)}, &out); err != nil {
+		return Answer{}, err
+	}
+	kvs := make([]KV, 0, len(out.KVs))
+	for _, kv := range out.KVs {
+		kvs = append(kvs, NewKV(string(kv.Key), kv.Value, kv.ModRevision))
+	}
+	return NewAnswer(out.Header.Revision, kvs), nil
+}
+
+func (c *etcd) txn(ctx context.Context, t *Txn) (Done, error) {
+	var in EtcdTxn
+	for _, cmp := range t.compares {
+		in.Compare = append(in.Compare, EtcdCompare{Key: []byte(cmp.key), Result: "EQUAL", Target: "MOD", ModRevision: cmp.rev})
+	}
+	for _, op := range t.ops {
+		in.Success = append(in.Success, encodeOp(op))
+	}
+	var out EtcdTxnAnswer
+	if err := c.call(ctx, "/v3/kv/txn", in, &out); err != nil {
+		return Done{}, err
+	}
+	return NewDone(out.Succeeded, out.Header.Revision), nil
+}
+
+func encodeOp(op Op) EtcdOp {
+	if op.delete {
+		return EtcdOp{Delete: &EtcdRange{Key: []byte(op.key), RangeEnd: []byte(op.end)}}
+	}
+	return EtcdOp{Put: &EtcdPut{Key: []byte(op.key), Value: op.value, Lease: op.lease}}
+}
+
+func (c *etcd) grant(ctx context.Context, ttl time.Duration) (int64, error) {
+	var out EtcdLease
+	if err := c.call(ctx, "/v3/lease/grant", EtcdLease{TTL: int64(ttl / time.Second)}, &out); err != nil {
+		return 0, err
+	}
+	return out.ID, nil
+}
+
+func (c *etcd) keep(ctx context.Context, lease int64) error {
+	var out EtcdKept
+	if err := c.call(ctx, "/v3/lease/keepalive", EtcdLease{ID: lease}, &out); err != nil {
+		return err
+	}
+	if out.Result.TTL <= 0 {
+		return errorx.IllegalState.New("lease %d has lapsed", lease)
+	}
+	return nil
+}
+
+func (c *etcd) watch(ctx context.Context, key, end string, after int64, fn func([]KV)) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	in := EtcdWatch{Create: EtcdWatchCreate{Key: []byte(key), RangeEnd: []byte(end), StartRevision: after + 1}}
+	silence := time.AfterFunc(watchSilence, cancel)
+	defer silence.Stop()
+	resp, err := c.post(ctx, "/v3/watch", in)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	d := json.NewDecoder(resp.Body)
+	for {
+		var out EtcdWatchResult
+		if err := d.Decode(&out); err != nil {
+			return errorx.Decorate(err, "watch the store")
+		}
+		silence.Reset(watchSilence)
+		if out.Result.Canceled {
+			return errors.New("store canceled the watch")
+		}
+		if kvs := decodeEvents(out.Result.Events); len(kvs) > 0 {
+			fn(kvs)
+		}
+	}
+}
+
+func decodeEvents(events []EtcdEvent) []KV {
+	kvs := make([]KV, 0, len(events))
+	for _, e := range events {
+		if e.Type == "DELETE" {
+			kvs = append(kvs, Deletion(string(e.KV.Key), e.KV.ModRevision))
+		} else {
+			kvs = append(kvs, NewKV(string(e.KV.Key), e.KV.Value, e.KV.ModRevision))
+		}
+	}
+	return kvs
+}
--- /dev/null
+++ b/io/request/gtedge/edge_test.go
@@ -0,0 +1,55 @@
+package gtedge
+
+import (
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"godwittide/core/process/gtmember"
+	"godwittide/core/request/gtkind"
+	"godwittide/core/request/gtonce"
+	"godwittide/core/request/gtretry"
+	"godwittide/core/request/gtroute"
+	"godwittide/core/version/gtdelta"
+	"godwittide/io/process/gttrace"
+	"godwittide/io/version/gtfolder"
+)
+
+// A request that comes while the first version does is answered by the state
+// before or by that after, never by a mixture: "no route" would tell the
+// caller not to try again.
+func TestFirstVersionComesWhole(t *testing.T) {
+	g := gomega.NewWithT(t)
+	files := map[string]string{"10.toml": "[service.lending]\nversion = \"1\"\n[route.holds]\nservice = \"lending\"\npath = \"/lending\"\n"}
+	cfg, problems := (&gtfolder.Parser{}).Merge(files)
+	g.Expect(problems).To(gomega.BeEmpty())
+	set := gtdelta.NewSet(1, 1, files)
+	var mu sync.Mutex
+	seen := map[gtkind.Kind]int{}
+	for range 3000 {
+		holder := &gtdelta.Holder{Now: time.Now}
+		nobody := func(string) []gtmember.Record { return nil }
+		e := &Edge{
+			Now: time.Now, Hops: 5, Body: 100, Holder: holder, Members: nobody, Crashes: &gtonce.Crashes{Now: time.Now},
+			Retry: &gtretry.Policy{Now: time.Now}, Router: &gtroute.Router{Now: time.Now, Service: nobody},
+			Trace: (&gttrace.Tracer{}).Start,
+			Answered: func(k gtkind.Kind, _ time.Duration) {
+				mu.Lock()
+				seen[k]++
+				mu.Unlock()
+			},
+		}
+		var wg sync.WaitGroup
+		wg.Go(func() { holder.Offer(set, cfg) })
+		for range 4 {
+			wg.Go(func() { e.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest("GET", "/lending/x", nil)) })
+		}
+		wg.Wait()
+	}
+	g.Expect(seen).NotTo(gomega.HaveKey(gtkind.NoRoute), "%v", seen)
+	g.Expect(seen[gtkind.NoConfig]).To(gomega.BeNumerically(">", 0), "%v", seen)
+	g.Expect(seen[gtkind.NoBackend]).To(gomega.BeNumerically(">", 0), "%v", seen)
+}
