--- /dev/null
+++ b/cmd/godwitstand/admit.go
@@ -0,0 +1,105 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/rs/zerolog"
+
+	"godwittide/io/process/gtcommand"
+	"godwittide/io/process/gtlab"
+	"godwittide/io/process/gtsettings"
+)
+
+type measureAdmit struct {
+	Slots  int           `help:"Requests that the backend server runs at once." default:"8"`
+	Claim  int           `help:"Slots that the settings claim." default:"16"`
+	Work   time.Duration `help:"Time that a request takes." default:"10ms"`
+	Time   time.Duration `help:"Time to measure each load." default:"5s"`
+	Factor []float64     `help:"Offered load as a multiple of the capacity." default:"0.5,1,2,5"`
+}
+
+// admitRow is what was measured at one offered load.
+type admitRow struct {
+	Factor   float64 `json:"factor"`
+	Fixed    bool    `json:"fixed"`
+	Goodput  float64 `json:"goodput"`
+	P99      float64 `json:"p99"`
+	Refused  float64 `json:"refused"`
+	Shed     float64 `json:"shed"`
+	RefuseMS float64 `json:"refusems"`
+}
+
+// Run measures the adaptive limit and a fixed one in turn. The settings claim
+// more slots than the backend server has.
+func (c *measureAdmit) Run(env gtcommand.Env) error {
+	var rows []admitRow
+	for _, fixed := range []bool{false, true} {
+		for _, f := range c.Factor {
+			row, err := c.measure(env.Context(), f, fixed)
+			if err != nil {
+				return err
+			}
+			rows = append(rows, row)
+			name := "adaptive"
+			if fixed {
+				name = "fixed"
+			}
+			env.Printf("%-8s limit, %.1f times capacity: goodput %.0f/s, p99 of answers %.1f ms, refused %.0f%% (in %.2f ms), shed by the server %.0f%%\n",
+				name, f, row.Goodput, row.P99, 100*row.Refused, row.RefuseMS, 100*row.Shed)
+		}
+	}
+	return env.Print(rows)
+}
+
+func (c *measureAdmit) measure(ctx context.Context, factor float64, fixed bool) (admitRow, error) {
+	row := admitRow{Factor: factor, Fixed: fixed}
+	lab := &gtlab.Lab{Log: zerolog.Nop()}
+	if err := lab.Open(ctx); err != nil {
+		return row, err
+	}
+	defer lab.Close()
+	site, err := lab.Add(gtlab.Spec{
+		Zone: "z1", Service: "lending", Version: "1", Slots: c.Slots, Work: c.Work, Noise: 0.3,
+		Settings: func(cfg *gtsettings.Settings) { cfg.Backend.Slots, cfg.Backend.Fixed = c.Claim, fixed },
+	})
+	if err != nil {
+		return row, err
+	}
+	lab.Until(5*time.Second, func() bool { return lab.Know(1) })
+	if err := lab.Push(map[string]string{"10.toml": measureBase}); err != nil {
+		return row, err
+	}
+	if !lab.Until(10*time.Second, func() bool { return lab.InForce(1) }) {
+		return row, errorx.TimeoutElapsed.New("the configuration is not in force")
+	}
+	rate := factor * float64(c.Slots) / c.Work.Seconds()
+	c.load(ctx, site, rate, 4*time.Second)
+	results := c.load(ctx, site, rate, c.Time)
+	var good, refused []gtlab.Result
+	shed := 0
+	for _, r := range results {
+		switch {
+		case r.OK():
+			good = append(good, r)
+		case r.Certainty == "not run":
+			refused = append(refused, r)
+		case r.Status == 503:
+			shed++
+		}
+	}
+	n := float64(len(results))
+	row.Goodput = float64(len(good)) / c.Time.Seconds()
+	row.P99, row.RefuseMS = ms(good, 0.99), ms(refused, 0.5)
+	row.Refused, row.Shed = float64(len(refused))/n, float64(shed)/n
+	return row, nil
+}
+
+func (c *measureAdmit) load(ctx context.Context, site *gtlab.Site, rate float64, d time.Duration) []gtlab.Result {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	load := &gtlab.Load{Method: "GET", Path: "/lending/x", Rate: rate, Edges: []string{site.Edge()}}
+	load.Run(ctx)
+	return load.Results()
+}
--- /dev/null
+++ b/cmd/godwittide/config.go
@@ -0,0 +1,326 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"os/user"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"godwittide/core/process/gttimer"
+	"godwittide/core/version/gtdelta"
+	"godwittide/io/process/gtcommand"
+	"godwittide/io/process/gtnode"
+	"godwittide/io/process/gtstore"
+	"godwittide/io/version/gtfolder"
+	"godwittide/io/version/gtsnapshot"
+)
+
+func init() {
+	commands.Register("config", "Check, push and compare the configuration folder.", &configCommand{})
+}
+
+type configCommand struct {
+	Check  configCheck  `cmd:"" help:"Check a folder without touching the store."`
+	Push   configPush   `cmd:"" help:"Make the store hold just this folder."`
+	Pull   configPull   `cmd:"" help:"Write the store's folder to a directory."`
+	Diff   configDiff   `cmd:"" help:"Show what a push would change."`
+	Status configStatus `cmd:"" help:"Show the latest push, the accepted version and refusals."`
+}
+
+type storeOption struct {
+	Store  string `help:"URL of the platform's store." default:"http://127.0.0.1:2379" env:"GODWITTIDE_STORE" placeholder:"URL"`
+	Prefix string `help:"What all keys begin with." default:"godwittide/" env:"GODWITTIDE_PREFIX"`
+}
+
+func (o storeOption) vault() *gtsnapshot.Vault {
+	return &gtsnapshot.Vault{Store: gtstore.Etcd(o.Store, gtstore.Client()), Prefix: o.Prefix}
+}
+
+// baseFile remembers, beside the folder's files, the push that they were taken
+// from.
+const baseFile = ".godwittide"
+
+func readBase(dir string) (int64, bool) {
+	b, err := os.ReadFile(filepath.Join(dir, baseFile))
+	if err != nil {
+		return 0, false
+	}
+	seq, err := strconv.ParseInt(strings.TrimSpace(string(b)), 10, 64)
+	return seq, err == nil
+}
+
+func writeBase(dir string, seq int64) error {
+	if err := os.WriteFile(filepath.Join(dir, baseFile), []byte(strconv.FormatInt(seq, 10)+"\n"), 0o644); err != nil {
+		return errorx.Decorate(err, "remember the push in %s", dir)
+	}
+	return nil
+}
+
+type configCheck struct {
+	Dir string `arg:"" help:"Folder of .toml files." type:"existingdir"`
+}
+
+// Help returns examples.
+func (c *configCheck) Help() string { return gtcommand.Examples("godwittide config check conf.d") }
+
+// Run checks the folder.
+func (c *configCheck) Run(env gtcommand.Env) error {
+	files, err := gtfolder.Read(c.Dir)
+	if err != nil {
+		return err
+	}
+	return check(env, files)
+}
+
+func check(env gtcommand.Env, files map[string]string) error {
+	cfg, problems := (&gtfolder.Parser{}).Merge(files)
+	if len(problems) > 0 {
+		texts := gtfolder.Texts(problems)
+		_ = env.Print(map[string]any{"problems": texts})
+		return errorx.RejectedOperation.New("folder refused, nothing was changed:\n  %s", strings.Join(texts, "\n  "))
+	}
+	env.Printf("%d files are right: %d services, %d routes, %d moves\n", len(files), cfg.Services(), len(cfg.Routes()), len(cfg.Moves()))
+	return nil
+}
+
+type configPush struct {
+	storeOption
+	adminOption
+	Dir       string        `arg:"" help:"Folder of .toml files." type:"existingdir"`
+	Author    string        `help:"Who pushes." env:"GODWITTIDE_AUTHOR"`
+	Force     bool          `help:"Push over what others have pushed since the folder was pulled."`
+	Unchecked bool          `help:"Leave the check to the nodes."`
+	Wait      time.Duration `help:"Wait until it is in force everywhere, at most this long; asks the node at --admin." placeholder:"TIME"`
+}
+
+// Help returns examples.
+func (c *configPush) Help() string {
+	return gtcommand.Examples("godwittide config push --wait 10s conf.d", "godwittide config push --store http://10.0.0.9:2379 --author ada conf.d")
+}
+
+// Run pushes the folder in one step.
+func (c *configPush) Run(env gtcommand.Env) error {
+	files, err := gtfolder.Read(c.Dir)
+	if err != nil {
+		return err
+	}
+	if !c.Unchecked {
+		if err := check(env, files); err != nil {
+			return err
+		}
+	}
+	ctx := env.Context()
+	vault := c.vault()
+	base, err := vault.Read(ctx)
+	if err != nil {
+		return err
+	}
+	old, err := vault.Files(ctx)
+	if err != nil {
+		return err
+	}
+	set, removed := gtdelta.Changes(old, files)
+	if len(set)+len(removed) == 0 {
+		env.Printf("nothing to push: the store holds this folder already\n")
+		return writeBase(c.Dir, base.View().Head().Seq())
+	}
+	names := append(slices.Sorted(maps.Keys(set)), removed...)
+	if err := c.raced(base, names); err != nil {
+		return err
+	}
+	seq, err := vault.Push(ctx, base, c.author(), set, removed)
+	if errors.Is(err, gtsnapshot.ErrConflict) {
+		now, readErr := vault.Read(ctx)
+		if readErr != nil {
+			return readErr
+		}
+		return conflict(now, names)
+	}
+	if err != nil {
+		return err
+	}
+	if err := writeBase(c.Dir, seq); err != nil {
+		return err
+	}
+	env.Printf("push %d: %s\n", seq, strings.Join(names, ", "))
+	if c.Wait == 0 {
+		return env.Print(map[string]any{"push": seq, "files": names})
+	}
+	return c.wait(env, vault, seq)
+}
+
+func (c *configPush) author() string {
+	if c.Author != "" {
+		return c.Author
+	}
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return "unknown"
+}
+
+// raced refuses a push from a folder that somebody else has overtaken.
+func (c *configPush) raced(base gtsnapshot.State, names []string) error {
+	seq, known := readBase(c.Dir)
+	if c.Force || base.View().Head().Seq() == 0 || known && seq == base.View().Head().Seq() {
+		return nil
+	}
+	return conflict(base, names)
+}
+
+func conflict(now gtsnapshot.State, mine []string) error {
+	head := now.View().Head()
+	return errorx.RejectedOperation.New(
+		"refused, nothing was changed: push %d by %s changed %s after this folder was taken; your changes are in %s. Run config pull into another folder, merge, and push again, or use --force",
+		head.Seq(), head.Author(), strings.Join(head.Files(), ", "), strings.Join(mine, ", "))
+}
+
+// wait follows the push until it is in force everywhere or refused.
+func (c *configPush) wait(env gtcommand.Env, vault *gtsnapshot.Vault, seq int64) error {
+	ctx, cancel := context.WithTimeout(env.Context(), c.Wait)
+	defer cancel()
+	start := time.Now()
+	last := ""
+	for {
+		line, done, err := c.progress(ctx, vault, seq)
+		if err != nil {
+			return err
+		}
+		if line != last {
+			env.Printf("%s\n", line)
+			last = line
+		}
+		if done {
+			env.Printf("in force everywhere after %s\n", time.Since(start).Round(10*time.Millisecond))
+			return env.Print(map[string]any{"push": seq, "seconds": time.Since(start).Seconds()})
+		}
+		if gttimer.Pause(ctx, 200*time.Millisecond) != nil {
+			return errorx.TimeoutElapsed.New("push %d is not in force everywhere after %s: %s", seq, c.Wait, line)
+		}
+	}
+}
+
+func (c *configPush) progress(ctx context.Context, vault *gtsnapshot.Vault, seq int64) (string, bool, error) {
+	s, err := vault.Read(ctx)
+	if err != nil {
+		return "the store does not answer", false, nil
+	}
+	v := s.Verdict()
+	if v.Seq == seq && len(v.Problems) > 0 {
+		return "", false, errorx.RejectedOperation.New("push %d refused, version %d stays in force:\n  %s", seq, s.View().Record().Version(), strings.Join(v.Problems, "\n  "))
+	}
+	record := s.View().Record()
+	if record.Push() < seq {
+		return "waiting for a node to accept it", false, nil
+	}
+	var spread gtnode.Spread
+	if err := c.ask(ctx, "/spread", &spread); err != nil {
+		return "", false, err
+	}
+	line := fmt.Sprintf("version %d: %d of %d nodes in %d zones", record.Version(), spread.Reached, spread.Asked, len(spread.Zones))
+	return line, spread.Version >= record.Version() && spread.Reached == spread.Asked, nil
+}
+
+type configPull struct {
+	storeOption
+	Dir string `arg:"" help:"Directory to write; its .toml files are replaced." type:"path"`
+}
+
+// Help returns examples.
+func (c *configPull) Help() string { return gtcommand.Examples("godwittide config pull conf.d") }
+
+// Run writes the store's folder to the directory.
+func (c *configPull) Run(env gtcommand.Env) error {
+	vault := c.vault()
+	base, err := vault.Read(env.Context())
+	if err != nil {
+		return err
+	}
+	files, err := vault.Files(env.Context())
+	if err != nil {
+		return err
+	}
+	if err := gtfolder.Write(c.Dir, files); err != nil {
+		return err
+	}
+	env.Printf("%d files of push %d\n", len(files), base.View().Head().Seq())
+	return writeBase(c.Dir, base.View().Head().Seq())
+}
+
+type configDiff struct {
+	storeOption
+	Dir string `arg:"" help:"Folder of .toml files." type:"existingdir"`
+}
+
+// Help returns examples.
+func (c *configDiff) Help() string { return gtcommand.Examples("godwittide config diff conf.d") }
+
+// Run shows what a push would change.
+func (c *configDiff) Run(env gtcommand.Env) error {
+	files, err := gtfolder.Read(c.Dir)
+	if err != nil {
+		return err
+	}
+	old, err := c.vault().Files(env.Context())
+	if err != nil {
+		return err
+	}
+	set, removed := gtdelta.Changes(old, files)
+	changed, added := []string{}, []string{}
+	for _, name := range slices.Sorted(maps.Keys(set)) {
+		if _, ok := old[name]; ok {
+			changed = append(changed, name)
+		} else {
+			added = append(added, name)
+		}
+	}
+	for word, names := range map[string][]string{"added": added, "changed": changed, "removed": removed} {
+		for _, name := range names {
+			env.Printf("%-8s %s\n", word, name)
+		}
+	}
+	return env.Print(map[string]any{"added": added, "changed": changed, "removed": removed})
+}
+
+type configStatus struct {
+	storeOption
+}
+
+// Help returns examples.
+func (c *configStatus) Help() string {
+	return gtcommand.Examples("godwittide config status", "godwittide config status --json")
+}
+
+// Run shows the state of the store.
+func (c *configStatus) Run(env gtcommand.Env) error {
+	s, err := c.vault().Read(env.Context())
+	if err != nil {
+		return err
+	}
+	head, record, v := s.View().Head(), s.View().Record(), s.Verdict()
+	env.Printf("latest push    %d by %s: %s\n", head.Seq(), head.Author(), strings.Join(head.Files(), ", "))
+	env.Printf("in force       version %d, from push %d, checksum %s\n", record.Version(), record.Push(), record.Sum())
+	switch {
+	case len(v.Problems) > 0 && v.Seq == head.Seq():
+		env.Printf("push %d refused by %s, version %d stays in force:\n", v.Seq, v.By, record.Version())
+		for _, p := range v.Problems {
+			env.Printf("  %s\n", p)
+		}
+	case head.Seq() > record.Push():
+		env.Printf("push %d waits for a node to accept it\n", head.Seq())
+	}
+	return env.Print(map[string]any{
+		"push": head.Seq(), "author": head.Author(), "files": head.Files(),
+		"version": record.Version(), "accepted": record.Push(), "sum": record.Sum(),
+		"refused": v.Seq == head.Seq() && len(v.Problems) > 0, "problems": v.Problems,
+	})
+}
--- /dev/null
+++ b/cmd/godwittide/main.go
@@ -0,0 +1,25 @@
+// Command godwittide runs a node of the mesh and drives it.
+//
+// # Usage
+//
+//	godwittide node --settings node.toml
+//	godwittide config push --store http://127.0.0.1:2379 conf.d
+//	godwittide demo
+//
+// Exit codes: 0 done, 1 refused or failed, 2 wrong usage.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"godwittide/io/process/gtcommand"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	os.Exit(gtcommand.Main(ctx, "godwittide", "Configuration distribution for a service mesh.", commands, os.Args[1:]))
+}
--- /dev/null
+++ b/cmd/godwittide/node.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/rs/zerolog"
+
+	"godwittide/io/process/gtcommand"
+	"godwittide/io/process/gtnode"
+	"godwittide/io/process/gtsettings"
+)
+
+func init() {
+	commands.Register("node", "Run the node beside a backend server.", &nodeCommand{})
+}
+
+type nodeCommand struct {
+	Settings string `help:"Settings file." required:"" type:"existingfile" placeholder:"FILE" xor:"what"`
+	Sample   bool   `help:"Print a commented settings file and exit." required:"" xor:"what"`
+	Check    bool   `help:"Check the settings and exit."`
+}
+
+// Help returns examples.
+func (c *nodeCommand) Help() string {
+	return gtcommand.Examples("godwittide node --settings node.toml")
+}
+
+// Run runs the node until it is asked to stop.
+func (c *nodeCommand) Run(env gtcommand.Env) error {
+	if c.Sample {
+		_, err := fmt.Fprint(env.Out(), gtsettings.Sample)
+		return err
+	}
+	cfg, err := gtsettings.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	if c.Check {
+		env.Printf("%s is right\n", c.Settings)
+		return nil
+	}
+	log, err := newLog(cfg.Log)
+	if err != nil {
+		return err
+	}
+	gtnode.TuneMemory()
+	node := &gtnode.Node{Settings: cfg, Log: log}
+	node.Open()
+	return node.Run(env.Context())
+}
+
+func newLog(cfg gtsettings.Log) (zerolog.Logger, error) {
+	level, err := zerolog.ParseLevel(cfg.Level)
+	if err != nil {
+		return zerolog.Nop(), err
+	}
+	var w io.Writer = os.Stderr
+	if cfg.Format == "text" {
+		w = zerolog.ConsoleWriter{Out: os.Stderr, NoColor: !isTerminal(os.Stderr)}
+	}
+	return zerolog.New(w).Level(level).With().Timestamp().Logger(), nil
+}
+
+func isTerminal(f *os.File) bool {
+	info, err := f.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
