--- /dev/null
+++ b/test/mesh/whole_test.go
@@ -0,0 +1,198 @@
+package mesh
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	collector "go.opentelemetry.io/proto/otlp/collector/trace/v1"
+	spans "go.opentelemetry.io/proto/otlp/trace/v1"
+	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
+
+	"godwittide/io/process/gtlab"
+	"godwittide/io/process/gtsettings"
+)
+
+// sink is a stand-in for a collector of spans, by OTLP over HTTP.
+type sink struct {
+	mu    sync.Mutex
+	spans []*spans.Span
+}
+
+// ServeHTTP takes in spans.
+func (s *sink) ServeHTTP(_ http.ResponseWriter, r *http.Request) {
+	b, _ := io.ReadAll(r.Body)
+	var m collector.ExportTraceServiceRequest
+	if proto.Unmarshal(b, &m) != nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, rs := range m.ResourceSpans {
+		for _, ss := range rs.ScopeSpans {
+			s.spans = append(s.spans, ss.Spans...)
+		}
+	}
+}
+
+// of returns the spans of a trace by their names.
+func (s *sink) of(trace string) map[string]*spans.Span {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]*spans.Span{}
+	for _, sp := range s.spans {
+		if fmt.Sprintf("%x", sp.TraceId) == trace {
+			out[sp.Name] = sp
+		}
+	}
+	return out
+}
+
+var _ = ginkgo.Describe("the whole", func() {
+	ginkgo.It("works under mutual TLS, and lets in no node of another authority", func() {
+		ours, err := gtlab.NewAuthority()
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		theirs, err := gtlab.NewAuthority()
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		secured := func(a *gtlab.Authority) gtlab.Spec {
+			spec := lending
+			spec.Settings = func(cfg *gtsettings.Settings) {
+				cfg.TLS, err = a.Issue(ginkgo.GinkgoT().TempDir())
+				gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			}
+			return spec
+		}
+		lab := newLab()
+		sites := grow(lab, 2, secured(ours), "z1", "z2")
+		push(lab, map[string]string{"10-base.toml": base})
+		for _, a := range []*gtlab.Authority{theirs, nil} {
+			spec := lending
+			if a != nil {
+				spec = secured(a)
+			}
+			spec.Zone, spec.Version = "z1", "stranger"
+			_, err := lab.Add(spec)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		}
+		load := &gtlab.Load{Method: "POST", Path: "/lending/x", Rate: 50, Keys: true, Edges: edges(sites)}
+		results := during(load, func() { pause(3 * time.Second) })
+		gomega.Expect(tally(results)).To(gomega.Equal(map[string]int{"ok": len(results)}))
+		gomega.Expect(len(results)).To(gomega.BeNumerically(">", 50))
+		for _, s := range sites {
+			gomega.Expect(s.Node().Ready()).To(gomega.Equal(len(sites)), "strangers are not known")
+		}
+	})
+
+	ginkgo.It("records a span for each hop, in the caller's trace", func() {
+		taken := &sink{}
+		server := httptest.NewServer(taken)
+		ginkgo.DeferCleanup(server.Close)
+		traced := func(service string) gtlab.Spec {
+			return gtlab.Spec{Service: service, Version: "1", Settings: func(cfg *gtsettings.Settings) {
+				cfg.Trace = gtsettings.Trace{Endpoint: server.URL + "/v1/traces", Ratio: 1}
+			}}
+		}
+		lab := newLab()
+		front := grow(lab, 1, traced("front"), "z1")
+		back := grow(lab, 1, traced("lending"), "z2")
+		push(lab, map[string]string{"10-base.toml": base + "[service.front]\nversion = \"1\"\n"})
+		const trace, parent = "0af7651916cd43dd8448eb211c80319c", "b7ad6b7169203331"
+		r, err := http.NewRequest(http.MethodGet, front[0].Edge()+"/lending/x", nil)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		r.Header.Set("Traceparent", "00-"+trace+"-"+parent+"-01")
+		answer, err := http.DefaultClient.Do(r)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(answer.Body.Close()).To(gomega.Succeed())
+		gomega.Expect(answer.StatusCode).To(gomega.Equal(http.StatusOK))
+		lab.Stop(front[0]) // sends what is left
+		lab.Stop(back[0])
+		got := taken.of(trace)
+		gomega.Expect(got).To(gomega.HaveLen(3))
+		above := parent
+		for _, name := range []string{"edge", "hop", "backend"} {
+			gomega.Expect(got).To(gomega.HaveKey(name))
+			gomega.Expect(fmt.Sprintf("%x", got[name].ParentSpanId)).To(gomega.Equal(above), name)
+			above = fmt.Sprintf("%x", got[name].SpanId)
+		}
+	})
+
+	ginkgo.It("ends slow senders, and serves others meanwhile", func() {
+		const limit = time.Second
+		spec := lending
+		spec.Settings = func(cfg *gtsettings.Settings) { cfg.Limit.Slow = gtsettings.Duration(limit) }
+		lab := newLab()
+		sites := grow(lab, 1, spec, "z1", "z2")
+		push(lab, map[string]string{"10-base.toml": base})
+		ended := make(chan time.Duration, 200)
+		for i := range cap(ended) {
+			head := "POST /lending/x HTTP/1.1\r\nHost: x\r\n"
+			if i%2 == 0 {
+				head += "Content-Length: 100000\r\n\r\n" // slow with its body
+			}
+			go func() { ended <- drip(strings.TrimPrefix(sites[0].Edge(), "http://"), head) }()
+		}
+		load := &gtlab.Load{Method: "GET", Path: "/lending/y", Rate: 50, Edges: edges(sites)}
+		results := during(load, func() {
+			for range cap(ended) {
+				var took time.Duration
+				gomega.Eventually(ended, 3*limit).Should(gomega.Receive(&took))
+				gomega.Expect(took).To(gomega.BeNumerically("<", 3*limit))
+			}
+		})
+		gomega.Expect(tally(results)).To(gomega.Equal(map[string]int{"ok": len(results)}))
+		for _, r := range sites[0].Backend().Log() {
+			gomega.Expect(r.Target).NotTo(gomega.Equal("/lending/x"), "what was not sent whole was not run")
+		}
+	})
+
+	ginkgo.It("leaves no thread behind", func() {
+		before := goleak.IgnoreCurrent()
+		lab := &gtlab.Lab{}
+		gomega.Expect(lab.Open(ginkgo.GinkgoT().Context())).To(gomega.Succeed())
+		sites := grow(lab, 2, lending, "z1", "z2")
+		push(lab, map[string]string{"10-base.toml": base})
+		load := &gtlab.Load{Method: "POST", Path: "/lending/x", Rate: 100, Keys: true, Edges: edges(sites)}
+		during(load, func() {
+			pause(time.Second)
+			lab.Kill(sites[3])
+			lab.Cut("z2")
+			pause(time.Second)
+			lab.Stop(sites[0])
+		})
+		lab.Close()
+		gomega.Expect(goleak.Find(before)).To(gomega.Succeed())
+	})
+})
+
+// drip sends a head and then a byte at a time until the connection ends, and
+// returns how long that took.
+func drip(addr, head string) time.Duration {
+	start := time.Now()
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		return time.Hour
+	}
+	defer func() { _ = conn.Close() }()
+	gone := make(chan struct{})
+	go func() {
+		defer close(gone)
+		_, _ = io.Copy(io.Discard, conn)
+	}()
+	_, _ = io.WriteString(conn, head)
+	for {
+		select {
+		case <-gone:
+			return time.Since(start)
+		case <-time.After(50 * time.Millisecond):
+			_, _ = io.WriteString(conn, "a")
+		}
+	}
+}
