io/connection/gtpipe: add a network in memory

Real nodes can then run under the test clock of testing/synctest: nothing in it waits for the operating system, and connections follow TCP where callers can tell.

A deadline that passed while its connection was closed was closed twice.

--- /dev/null
+++ b/io/connection/gtpipe/pipe_test.go
@@ -0,0 +1,126 @@
+package gtpipe
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+// connect returns the ends of a new connection.
+func connect(t *testing.T) (near, far net.Conn) {
+	t.Helper()
+	g := gomega.NewWithT(t)
+	n := &Network{}
+	ln, err := n.Listen("a")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer ln.Close()
+	near, err = n.Dial(context.Background(), "a")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	far, err = ln.Accept()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	return near, far
+}
+
+func TestAddressHasOneListener(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := &Network{}
+	_, err := n.Dial(context.Background(), "a")
+	g.Expect(errors.Is(err, syscall.ECONNREFUSED)).To(gomega.BeTrue())
+	ln, err := n.Listen("a")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = n.Listen("a")
+	g.Expect(errors.Is(err, syscall.EADDRINUSE)).To(gomega.BeTrue())
+	near, err := n.Dial(context.Background(), "a")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(ln.Close()).To(gomega.Succeed())
+	_, err = near.Read(make([]byte, 1))
+	g.Expect(err).To(gomega.Equal(io.EOF), "nobody accepted it")
+	_, err = ln.Accept()
+	g.Expect(errors.Is(err, net.ErrClosed)).To(gomega.BeTrue())
+	ln, err = n.Listen("a")
+	g.Expect(err).NotTo(gomega.HaveOccurred(), "the address is free again")
+	g.Expect(ln.Close()).To(gomega.Succeed())
+	g.Expect(n.Address()).NotTo(gomega.Equal(n.Address()))
+}
+
+// What is read is what was written, whatever the sizes of the pieces.
+func TestBytesArriveInOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		pieces := rapid.SliceOf(rapid.SliceOfN(rapid.Byte(), 0, 3*window/2)).Draw(t, "pieces")
+		a, b := Pair(address("a"), address("b"))
+		go func() {
+			for _, p := range pieces {
+				_, _ = a.Write(p)
+			}
+			_ = a.Close()
+		}()
+		got, err := io.ReadAll(b)
+		if err != nil || !bytes.Equal(got, bytes.Join(pieces, nil)) {
+			t.Fatalf("read %d bytes, %v", len(got), err)
+		}
+	})
+}
+
+// The first write to an end that has gone is lost without an error, as the
+// news of the end may still be on its way.
+func TestWriteToAnEndThatHasGone(t *testing.T) {
+	g := gomega.NewWithT(t)
+	near, far := connect(t)
+	g.Expect(far.Close()).To(gomega.Succeed())
+	n, err := near.Write([]byte("lost"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(n).To(gomega.Equal(4))
+	_, err = near.Write([]byte("refused"))
+	g.Expect(errors.Is(err, syscall.EPIPE)).To(gomega.BeTrue())
+	_, err = near.Read(make([]byte, 1))
+	g.Expect(err).To(gomega.Equal(io.EOF))
+	g.Expect(near.Close()).To(gomega.Succeed())
+	_, err = near.Read(make([]byte, 1))
+	g.Expect(errors.Is(err, net.ErrClosed)).To(gomega.BeTrue())
+}
+
+func TestDeadlineEndsWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		near, far := connect(t)
+		defer far.Close()
+		defer near.Close()
+		start := time.Now()
+		g.Expect(near.SetDeadline(start.Add(time.Second))).To(gomega.Succeed())
+		_, err := near.Read(make([]byte, 1))
+		g.Expect(errors.Is(err, os.ErrDeadlineExceeded)).To(gomega.BeTrue())
+		g.Expect(time.Since(start)).To(gomega.Equal(time.Second))
+		_, err = near.Write(make([]byte, 1))
+		g.Expect(errors.Is(err, os.ErrDeadlineExceeded)).To(gomega.BeTrue())
+
+		g.Expect(near.SetDeadline(time.Time{})).To(gomega.Succeed())
+		time.AfterFunc(time.Second, func() { _ = near.SetWriteDeadline(time.Now()) })
+		n, err := near.Write(make([]byte, 2*window))
+		g.Expect(errors.Is(err, os.ErrDeadlineExceeded)).To(gomega.BeTrue())
+		g.Expect(n).To(gomega.Equal(window), "no more than there is room for")
+	})
+}
+
+// A deadline may pass at the moment of a Close, and be moved by a thread that
+// has not heard of it.
+func TestDeadlineMovesWhileItPasses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for range 2000 {
+			near, _ := connect(t)
+			_ = near.SetDeadline(time.Now().Add(time.Second))
+			<-time.After(time.Second)
+			_ = near.Close()
+			_ = near.SetDeadline(time.Unix(1, 0))
+		}
+	})
+}
