--- a/io/process/gtlab/lab.go
+++ b/io/process/gtlab/lab.go
@@ -17,7 +17,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -106,6 +105,8 @@
 	Log zerolog.Logger
 	// Delay returns the round trip between two zones; nil means none.
 	Delay func(from, to string) time.Duration
+	// Net carries all connections; its zero value is TCP on loopback.
+	Net Net
 
 	ctx   context.Context
 	stop  context.CancelFunc
@@ -132,11 +133,11 @@
 	l.cut, l.away, l.zones = map[string]bool{}, map[string]bool{}, map[string]string{}
 	l.conns, l.hops, l.pieces = map[net.Conn][2]string{}, map[string]bool{}, make(chan piece)
 	l.store = &gtstand.Store{}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	l.addr = l.Net.address()
+	ln, err := l.Net.listen(l.addr)
 	if err != nil {
 		return errorx.Decorate(err, "start the store")
 	}
-	l.addr = ln.Addr().String()
 	server := &http.Server{Handler: l.store.Handler()}
 	l.wg.Go(func() { _ = server.Serve(ln) })
 	context.AfterFunc(l.ctx, func() { _ = server.Close() })
@@ -182,7 +183,7 @@
 	for _, addr := range []*string{
 		&s.settings.Listen.Edge, &s.settings.Listen.Hop, &s.settings.Listen.Peer, &s.settings.Listen.Admin, &s.settings.Backend.Address,
 	} {
-		*addr = FreeAddress()
+		*addr = l.Net.address()
 	}
 	if spec.Settings != nil {
 		spec.Settings(&s.settings)
@@ -213,13 +214,13 @@
 }
 
 func (l *Lab) startBackend(s *Site) error {
-	ln, err := gtstand.Listen(l.ctx, s.settings.Backend.Address)
+	ln, err := gtstand.Listen(l.ctx, l.Net.listen, s.settings.Backend.Address)
 	if err != nil {
 		return errorx.Decorate(err, "start a backend server")
 	}
 	backend := &gtstand.Backend{
 		Name: s.settings.Node.Instance, Slots: s.spec.Slots, Work: s.spec.Work, Noise: s.spec.Noise, Warm: s.spec.Warm,
-		Restart: time.Second, Call: s.spec.Call,
+		Restart: time.Second, Call: s.spec.Call, Listen: l.Net.listen,
 	}
 	ctx, cancel := context.WithCancel(l.ctx)
 	s.mu.Lock()
@@ -233,8 +234,10 @@
 	zone := s.spec.Zone
 	node := &gtnode.Node{
 		Settings: s.settings, Log: l.Log.With().Str("node", s.settings.Node.Instance).Logger(),
-		Dial:  func(ctx context.Context, addr string) (net.Conn, error) { return l.dial(ctx, zone, addr) },
-		Store: l.storeFor(zone),
+		Dial:        func(ctx context.Context, addr string) (net.Conn, error) { return l.dial(ctx, zone, addr) },
+		DialBackend: l.Net.Connect,
+		Listen:      l.Net.listen,
+		Store:       l.storeFor(zone),
 	}
 	node.Open()
 	ctx, cancel := context.WithCancel(l.ctx)
@@ -277,32 +280,9 @@
 	return nil
 }
 
-// The ports that FreeAddress hands out lie below those that systems give to
-// outgoing connections, so that none is taken between its choice and its use.
-const (
-	firstPort = 10000
-	ports     = 20000
-)
-
-var nextPort atomic.Int64
-
-// FreeAddress returns a loopback address with a free port, another one at each
-// call. Processes that run side by side begin at different ports.
-func FreeAddress() string {
-	nextPort.CompareAndSwap(0, int64(os.Getpid())*997%ports)
-	for {
-		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%ports)
-		ln, err := net.Listen("tcp", addr)
-		if err == nil {
-			_ = ln.Close()
-			return addr
-		}
-	}
-}
-
 // Push makes the folder in the store hold just the given files.
 func (l *Lab) Push(files map[string]string) error {
-	vault := &gtsnapshot.Vault{Store: gtstore.Etcd(l.Endpoint(), gtstore.Client()), Prefix: gtsettings.Default().Store.Prefix}
+	vault := &gtsnapshot.Vault{Store: gtstore.Etcd(l.Endpoint(), gtstore.ClientOver(l.Net.Connect)), Prefix: gtsettings.Default().Store.Prefix}
 	base, err := vault.Read(l.ctx)
 	if err != nil {
 		return err
--- a/io/process/gtlab/load.go
+++ b/io/process/gtlab/load.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -33,6 +34,8 @@
 	Limit time.Duration
 	// Most bounds the requests under way; more are not sent.
 	Most int
+	// Net carries the connections; its zero value is TCP.
+	Net Net
 
 	client  *http.Client
 	wg      sync.WaitGroup
@@ -64,9 +67,10 @@
 func (r Result) OK() bool { return r.Status == http.StatusOK && r.Right }
 
 // NewClient returns a client that resends nothing and follows nothing.
-func NewClient(most int) *http.Client {
+func NewClient(network Net, most int) *http.Client {
+	dial := func(ctx context.Context, _, addr string) (net.Conn, error) { return network.Connect(ctx, addr) }
 	return &http.Client{
-		Transport:     &http.Transport{MaxIdleConnsPerHost: most, MaxConnsPerHost: 0, IdleConnTimeout: 10 * time.Second},
+		Transport:     &http.Transport{DialContext: dial, MaxIdleConnsPerHost: most, MaxConnsPerHost: 0, IdleConnTimeout: 10 * time.Second},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
@@ -79,7 +83,7 @@
 	if l.Most == 0 {
 		l.Most = 2000
 	}
-	l.client = NewClient(l.Most)
+	l.client = NewClient(l.Net, l.Most)
 	defer l.client.CloseIdleConnections()
 	start := time.Now()
 	tick := time.NewTicker(max(time.Duration(float64(time.Second)/l.Rate), time.Millisecond))
@@ -159,7 +163,7 @@
 	if l.Limit == 0 {
 		l.Limit = 10 * time.Second
 	}
-	l.client = NewClient(64)
+	l.client = NewClient(l.Net, 64)
 }
 
 // Results returns the results so far, in the order of their ends.
--- a/io/process/gtlab/net.go
+++ b/io/process/gtlab/net.go
@@ -103,8 +103,7 @@
 	if cut {
 		return nil, errorx.ExternalError.New("network is cut")
 	}
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", addr)
+	conn, err := l.Net.Connect(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
@@ -222,7 +221,7 @@
 
 // storeFor returns the store as a zone sees it.
 func (l *Lab) storeFor(zone string) *gtstore.Store {
-	inner := gtstore.Etcd(l.Endpoint(), gtstore.Client())
+	inner := gtstore.Etcd(l.Endpoint(), gtstore.ClientOver(l.Net.Connect))
 	away := func() error {
 		l.mu.Lock()
 		defer l.mu.Unlock()
--- a/io/process/gtnode/backend.go
+++ b/io/process/gtnode/backend.go
@@ -67,7 +67,10 @@
 	b.ready = at
 }
 
-func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
+func (n *Node) dialBackend(ctx context.Context, addr string) (net.Conn, error) {
+	if n.DialBackend != nil {
+		return n.DialBackend(ctx, addr)
+	}
 	d := net.Dialer{Timeout: gtpool.DialLimit, KeepAlive: 15 * time.Second}
 	return d.DialContext(ctx, "tcp", addr)
 }
@@ -93,7 +96,7 @@
 func (n *Node) probe(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeLimit)
 	defer cancel()
-	conn, err := dialTCP(ctx, n.Settings.Backend.Address)
+	conn, err := n.dialBackend(ctx, n.Settings.Backend.Address)
 	if err == nil {
 		_ = conn.Close()
 		n.backend.reached()
--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -54,6 +54,10 @@
 	// Dial opens connections to peers and other nodes; nil means TCP. A test
 	// cuts the network here.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// DialBackend opens connections to the backend server; nil means TCP.
+	DialBackend func(ctx context.Context, addr string) (net.Conn, error)
+	// Listen takes connections at an address; nil means TCP.
+	Listen func(addr string) (net.Listener, error)
 	// Store is the platform's store; nil means the endpoint of the settings.
 	Store *gtstore.Store
 
@@ -210,7 +214,7 @@
 	n.ledger = &gtevidence.Ledger{}
 	n.router = &gtroute.Router{Now: now, Rand: rand.Float64, Zone: cfg.Node.Zone, Service: n.table.Service, Share: n.board.Share}
 	n.hops = &gtpool.Pool{Dial: n.dialNode, Now: now, Ping: true, Max: cfg.Backend.Connections}
-	n.own = &gtpool.Pool{Dial: dialTCP, Now: now, Max: cfg.Backend.Connections}
+	n.own = &gtpool.Pool{Dial: n.dialBackend, Now: now, Max: cfg.Backend.Connections}
 	n.beside = &gthop.Beside{
 		Now: now, Self: n.table.Self, Address: cfg.Backend.Address, Buffer: cfg.Limit.Buffer, Pool: n.own,
 		Gate: n.gate, Keys: n.once, Crashes: n.crashes, Ledger: n.ledger,
--- a/io/process/gtnode/serve.go
+++ b/io/process/gtnode/serve.go
@@ -51,8 +51,12 @@
 		{n.Settings.Listen.Peer, true, &l.peer},
 		{n.Settings.Listen.Admin, false, &l.admin},
 	}
+	listen := n.Listen
+	if listen == nil {
+		listen = func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+	}
 	for _, p := range ports {
-		ln, err := net.Listen("tcp", p.addr)
+		ln, err := listen(p.addr)
 		if err != nil {
 			return l, errorx.Decorate(err, "listen on %s", p.addr)
 		}
--- a/io/process/gtstand/backend.go
+++ b/io/process/gtstand/backend.go
@@ -63,6 +63,8 @@
 	Restart time.Duration
 	// Call makes a request to another service for each request, if it is set.
 	Call func(ctx context.Context, r *http.Request) error
+	// Listen takes connections at an address, after a crash; nil means TCP.
+	Listen func(addr string) (net.Listener, error)
 
 	mu      sync.Mutex
 	faults  BackendFaults
@@ -94,18 +96,22 @@
 		if gttimer.Pause(ctx, b.Restart) != nil {
 			return nil
 		}
-		if ln, err = Listen(ctx, addr); err != nil {
+		if ln, err = Listen(ctx, b.Listen, addr); err != nil {
 			return err
 		}
 	}
 }
 
 // Listen listens on an address that whoever had it before may just be leaving.
-func Listen(ctx context.Context, addr string) (net.Listener, error) {
+// A nil function means TCP.
+func Listen(ctx context.Context, listen func(addr string) (net.Listener, error), addr string) (net.Listener, error) {
+	if listen == nil {
+		listen = func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+	}
 	var err error
 	for range 50 {
 		var ln net.Listener
-		if ln, err = net.Listen("tcp", addr); err == nil {
+		if ln, err = listen(addr); err == nil {
 			return ln, nil
 		}
 		if err := gttimer.Pause(ctx, 20*time.Millisecond); err != nil {
--- a/io/process/gtstore/etcd.go
+++ b/io/process/gtstore/etcd.go
@@ -112,11 +112,17 @@
 	watchSilence = 20 * time.Second
 )
 
-// Client returns an HTTP client for calls to the store.
+// Client returns an HTTP client for calls to the store, by TCP.
 func Client() *http.Client {
 	dialer := net.Dialer{Timeout: time.Second}
+	return ClientOver(func(ctx context.Context, addr string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", addr) })
+}
+
+// ClientOver returns a client whose connections dial opens.
+func ClientOver(dial func(ctx context.Context, addr string) (net.Conn, error)) *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second,
+		DialContext:         func(ctx context.Context, _, addr string) (net.Conn, error) { return dial(ctx, addr) },
+		MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second,
 		ResponseHeaderTimeout: callLimit,
 	}}
 }
