io/process/gtoverlay: start no thread once the overlay ends

Cause: Run waits for the overlay's threads when its context ends, while peers still connect and links end in threads of the node, and these started threads of the overlay too. The wait group panics over that and the node dies in its shutdown ("WaitGroup is reused before previous Wait has returned").

Threads are now started by one method that refuses once the end has begun.

--- a/io/process/gtoverlay/connect.go
+++ b/io/process/gtoverlay/connect.go
@@ -119,7 +119,7 @@
 	l := o.open(conn, e)
 	limit := o.Timer.After(helloLimit)
 	defer limit.Stop()
-	o.wg.Go(func() {
+	o.spawn(func() {
 		select {
 		case <-limit.C():
 			if _, ok := o.links.Get(e.key()); !ok {
@@ -204,12 +204,17 @@
 
 // watch runs an outbound link in a thread of its own.
 func (o *Overlay) watch(e *entry) {
-	o.wg.Go(func() {
+	running := o.spawn(func() {
 		e.link.Run(o.ctx)
 		o.ended(e)
 	})
+	if !running {
+		e.link.Close()
+		o.ended(e)
+		return
+	}
 	if !e.aside {
-		o.wg.Go(func() { o.digestWith(o.ctx, e) })
+		o.spawn(func() { o.digestWith(o.ctx, e) })
 	}
 }
 
@@ -227,7 +232,7 @@
 		return
 	}
 	if r, ok := o.Table.Get(e.instance); ok && r.Alive() {
-		o.wg.Go(func() { o.verify(r) })
+		o.spawn(func() { o.verify(r) })
 	}
 }
 
--- a/io/process/gtoverlay/digest.go
+++ b/io/process/gtoverlay/digest.go
@@ -74,7 +74,7 @@
 		return
 	}
 	e := links[rand.IntN(len(links))]
-	o.wg.Go(func() { o.digestWith(ctx, e) })
+	o.spawn(func() { o.digestWith(ctx, e) })
 }
 
 // digestWith compares digests with one peer; one comparison at a time, so that
--- a/io/process/gtoverlay/fetch.go
+++ b/io/process/gtoverlay/fetch.go
@@ -49,7 +49,7 @@
 	if !o.fetching.CompareAndSwap(false, true) {
 		return
 	}
-	o.wg.Go(func() {
+	o.spawn(func() {
 		err := o.fetch(e)
 		o.fetching.Store(false)
 		if err != nil {
--- a/io/process/gtoverlay/overlay.go
+++ b/io/process/gtoverlay/overlay.go
@@ -97,8 +97,11 @@
 	fetchWant atomic.Int64
 	sent      atomic.Int64
 	received  atomic.Int64
-	wg        sync.WaitGroup
 	ctx       context.Context
+
+	endMu sync.Mutex
+	over  bool
+	wg    sync.WaitGroup
 }
 
 // entry is an open link and what is known of its other end.
@@ -141,13 +144,12 @@
 	defer digest.Stop()
 	var seeded time.Time
 	last := o.Timer.Time()
-	o.wg.Go(func() { o.flushBatches(ctx) })
+	o.spawn(func() { o.flushBatches(ctx) })
 	o.seed(ctx)
 	for {
 		select {
 		case <-ctx.Done():
-			o.closeAll()
-			o.wg.Wait()
+			o.end()
 			return
 		case now := <-repair.C():
 			if now.Sub(last) > lateAfter {
@@ -166,6 +168,27 @@
 	}
 }
 
+// spawn runs fn in a thread that Run waits for. Once the overlay has ended it
+// runs nothing and returns false: fn would find its context over.
+func (o *Overlay) spawn(fn func()) bool {
+	o.endMu.Lock()
+	defer o.endMu.Unlock()
+	if o.over {
+		return false
+	}
+	o.wg.Go(fn)
+	return true
+}
+
+// end closes all links and waits for the threads of spawn.
+func (o *Overlay) end() {
+	o.endMu.Lock()
+	o.over = true
+	o.endMu.Unlock()
+	o.closeAll()
+	o.wg.Wait()
+}
+
 func (o *Overlay) seedPeriod() time.Duration {
 	if o.Links() == 0 {
 		return seedEvery
@@ -224,7 +247,7 @@
 	if !start {
 		return
 	}
-	o.wg.Go(func() { o.tried(r, o.connect(ctx, r.Peer(), r.Instance(), false)) })
+	o.spawn(func() { o.tried(r, o.connect(ctx, r.Peer(), r.Instance(), false)) })
 }
 
 // tried records the end of an attempt to reach a member. A member that can't
@@ -269,7 +292,7 @@
 // seed tries first contacts: those of the settings, and those in the store
 // while no link is open.
 func (o *Overlay) seed(ctx context.Context) {
-	o.wg.Go(func() {
+	o.spawn(func() {
 		addrs := append([]string(nil), o.Seeds...)
 		if o.Links() == 0 && o.Contacts != nil {
 			contacts, err := o.Contacts(ctx)
