io/connection: run the pool's specs under the test clock

A read or write now looks at the clock too.

gtpool: the specs waited for the machine's clock, up to 2.5 s each. They run over gtpipe now.

--- a/io/connection/gtpipe/conn.go
+++ b/io/connection/gtpipe/conn.go
@@ -107,8 +107,8 @@
 // Read reads at least one byte, unless b is empty.
 func (c *conn) Read(b []byte) (int, error) {
 	for {
-		passed := c.reads.wait()
-		if isClosed(passed) {
+		passed, over := c.reads.wait()
+		if over {
 			return 0, c.fail("read", os.ErrDeadlineExceeded)
 		}
 		n, changed, err := c.in.take(b)
@@ -131,8 +131,8 @@
 func (c *conn) Write(b []byte) (int, error) {
 	done := 0
 	for {
-		passed := c.writes.wait()
-		if isClosed(passed) {
+		passed, over := c.writes.wait()
+		if over {
 			return done, c.fail("write", os.ErrDeadlineExceeded)
 		}
 		n, changed, err := c.out.put(b[done:])
@@ -194,15 +194,17 @@
 // deadline ends waits at a time that may be moved.
 type deadline struct {
 	mu     sync.Mutex
+	at     time.Time
 	timer  *time.Timer
 	passed chan struct{}
 }
 
-// wait returns a channel that is closed when the deadline has passed.
-func (d *deadline) wait() <-chan struct{} {
+// wait returns a channel that is closed when the deadline has passed, and says
+// whether it has. The timer may be a little later than the clock.
+func (d *deadline) wait() (passed <-chan struct{}, over bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.channel()
+	return d.channel(), !d.at.IsZero() && !time.Now().Before(d.at)
 }
 
 func (d *deadline) channel() chan struct{} {
@@ -217,6 +219,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.halt()
+	d.at = t
 	if isClosed(d.channel()) {
 		d.passed = make(chan struct{})
 	}
--- a/io/connection/gtpool/pool_test.go
+++ b/io/connection/gtpool/pool_test.go
@@ -5,10 +5,10 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/onsi/gomega"
@@ -16,14 +16,16 @@
 
 	"godwittide/core/connection/gtlive"
 	"godwittide/core/request/gtkind"
+	"godwittide/io/connection/gtpipe"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// peer serves connections with a function that is given each request.
-func peer(t *testing.T, answer func(n int, w io.Writer, r *http.Request) bool) (addr string, conns *atomic.Int64) {
+// peer serves connections on a network with a function that is given each
+// request.
+func peer(t *testing.T, network *gtpipe.Network, answer func(n int, w io.Writer, r *http.Request) bool) (addr string, conns *atomic.Int64) {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := network.Listen(network.Address())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -60,11 +62,17 @@
 	return err == nil
 }
 
-func newPool(now func() time.Time) *Pool {
-	return &Pool{Dial: func(ctx context.Context, addr string) (net.Conn, error) {
-		var d net.Dialer
-		return d.DialContext(ctx, "tcp", addr)
-	}, Now: now, Ping: true, Max: 4}
+func newPool(network *gtpipe.Network) *Pool {
+	return &Pool{Dial: network.Dial, Now: time.Now, Ping: true, Max: 4}
+}
+
+// onTestClock runs a test under a test clock, with a network in memory.
+func onTestClock(t *testing.T, test func(t *testing.T, network *gtpipe.Network)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		t.Cleanup(func() { <-time.After(time.Minute) }) // threads that wait for a timer end
+		test(t, &gtpipe.Network{})
+	})
 }
 
 func get(ctx context.Context, p *Pool, addr string, idempotent bool) (string, error) {
@@ -79,59 +87,87 @@
 }
 
 func TestConnectionIsReusedAndBounded(t *testing.T) {
-	g := gomega.NewWithT(t)
-	addr, conns := peer(t, func(_ int, w io.Writer, _ *http.Request) bool { return whole(w) })
-	p := newPool(time.Now)
-	defer p.Close()
-	for range 5 {
-		body, err := get(context.Background(), p, addr, true)
-		g.Expect(err).NotTo(gomega.HaveOccurred())
-		g.Expect(body).To(gomega.Equal("ok"))
-	}
-	g.Expect(conns.Load()).To(gomega.Equal(int64(1)))
-	held := 0
-	for range 6 {
-		req, _ := http.NewRequest(http.MethodGet, "http://"+addr+"/x", nil)
-		resp, err := p.Do(context.Background(), addr, "normal", req, true)
-		if err != nil {
-			g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.Full))
-			continue
+	onTestClock(t, func(t *testing.T, network *gtpipe.Network) {
+		g := gomega.NewWithT(t)
+		addr, conns := peer(t, network, func(_ int, w io.Writer, _ *http.Request) bool { return whole(w) })
+		p := newPool(network)
+		defer p.Close()
+		for range 5 {
+			body, err := get(context.Background(), p, addr, true)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(body).To(gomega.Equal("ok"))
 		}
-		held++
-		defer resp.Body.Close()
-	}
-	g.Expect(held).To(gomega.Equal(4))
-	g.Expect(p.Open(addr)).To(gomega.Equal(4))
+		g.Expect(conns.Load()).To(gomega.Equal(int64(1)))
+		held := 0
+		for range 6 {
+			req, _ := http.NewRequest(http.MethodGet, "http://"+addr+"/x", nil)
+			resp, err := p.Do(context.Background(), addr, "normal", req, true)
+			if err != nil {
+				g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.Full))
+				continue
+			}
+			held++
+			defer resp.Body.Close()
+		}
+		g.Expect(held).To(gomega.Equal(4))
+		g.Expect(p.Open(addr)).To(gomega.Equal(4))
+	})
 }
 
 // An idle connection that has gone silent must not carry a request that may
 // not be repeated; it is pinged, given up, and a new one is opened.
 func TestSilentIdleConnectionIsNotTrusted(t *testing.T) {
-	g := gomega.NewWithT(t)
-	var silent atomic.Bool
-	var posts atomic.Int64
-	addr, conns := peer(t, func(n int, w io.Writer, r *http.Request) bool {
-		if silent.Load() && n > 0 {
-			return true // takes the request and never answers
-		}
-		if r.Method == http.MethodPost {
-			posts.Add(1)
+	onTestClock(t, func(t *testing.T, network *gtpipe.Network) {
+		g := gomega.NewWithT(t)
+		var silent atomic.Bool
+		var posts atomic.Int64
+		addr, conns := peer(t, network, func(n int, w io.Writer, r *http.Request) bool {
+			if silent.Load() && n > 0 {
+				return true // takes the request and never answers
+			}
+			if r.Method == http.MethodPost {
+				posts.Add(1)
+			}
+			return whole(w)
+		})
+		p := newPool(network)
+		defer p.Close()
+		_, err := get(context.Background(), p, addr, false)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		silent.Store(true)
+		<-time.After(2 * gtlive.Fresh)
+		start := time.Now()
+		_, err = get(context.Background(), p, addr, false)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(time.Since(start)).To(gomega.BeNumerically("<", 2*time.Second))
+		g.Expect(posts.Load()).To(gomega.Equal(int64(2)))
+		g.Expect(conns.Load()).To(gomega.Equal(int64(2)))
+	})
+}
+
+// A connection that is in use shows life with each answer, and is not pinged.
+func TestBusyConnectionIsNotPinged(t *testing.T) {
+	onTestClock(t, func(t *testing.T, network *gtpipe.Network) {
+		g := gomega.NewWithT(t)
+		pings := 0
+		addr, conns := peer(t, network, func(_ int, w io.Writer, r *http.Request) bool {
+			if r.URL.Path != PingTarget {
+				return whole(w)
+			}
+			pings++
+			_, err := io.WriteString(w, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			return err == nil
+		})
+		p := newPool(network)
+		defer p.Close()
+		for range 10 {
+			_, err := get(context.Background(), p, addr, false)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			<-time.After(gtlive.Fresh / 2)
 		}
-		return whole(w)
+		g.Expect(pings).To(gomega.BeZero())
+		g.Expect(conns.Load()).To(gomega.Equal(int64(1)))
 	})
-	var skew atomic.Int64
-	p := newPool(func() time.Time { return time.Now().Add(time.Duration(skew.Load())) })
-	defer p.Close()
-	_, err := get(context.Background(), p, addr, false)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	silent.Store(true)
-	skew.Store(int64(2 * gtlive.Fresh))
-	start := time.Now()
-	_, err = get(context.Background(), p, addr, false)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect(time.Since(start)).To(gomega.BeNumerically("<", 2*time.Second))
-	g.Expect(posts.Load()).To(gomega.Equal(int64(2)))
-	g.Expect(conns.Load()).To(gomega.Equal(int64(2)))
 }
 
 func TestKindsOfFailure(t *testing.T) {
@@ -156,29 +192,31 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			g := gomega.NewWithT(t)
-			addr, _ := peer(t, c.answer)
-			p := newPool(time.Now)
-			defer p.Close()
-			start := time.Now()
-			_, err := get(context.Background(), p, addr, false)
-			g.Expect(err).To(gomega.HaveOccurred())
-			g.Expect(gtkind.Of(err).String()).To(gomega.Equal(c.want.String()), "%v", err)
-			g.Expect(time.Since(start)).To(gomega.BeNumerically("<", 2500*time.Millisecond))
-			g.Expect(p.Open(addr)).To(gomega.BeZero(), "the connection is gone")
+			onTestClock(t, func(t *testing.T, network *gtpipe.Network) {
+				g := gomega.NewWithT(t)
+				addr, _ := peer(t, network, c.answer)
+				p := newPool(network)
+				defer p.Close()
+				start := time.Now()
+				_, err := get(context.Background(), p, addr, false)
+				g.Expect(err).To(gomega.HaveOccurred())
+				g.Expect(gtkind.Of(err).String()).To(gomega.Equal(c.want.String()), "%v", err)
+				g.Expect(time.Since(start)).To(gomega.BeNumerically("<=", gtlive.Silence))
+				g.Expect(p.Open(addr)).To(gomega.BeZero(), "the connection is gone")
+			})
 		})
 	}
 }
 
 func TestRefusedConnectionIsNotRun(t *testing.T) {
-	g := gomega.NewWithT(t)
-	ln, _ := net.Listen("tcp", "127.0.0.1:0")
-	addr := ln.Addr().String()
-	ln.Close()
-	p := newPool(time.Now)
-	_, err := get(context.Background(), p, addr, false)
-	g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.Refused))
-	g.Expect(gtkind.Of(err).Row().Certainty()).To(gomega.Equal(gtkind.NotRun))
+	onTestClock(t, func(t *testing.T, network *gtpipe.Network) {
+		g := gomega.NewWithT(t)
+		addr := network.Address()
+		p := newPool(network)
+		_, err := get(context.Background(), p, addr, false)
+		g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.Refused))
+		g.Expect(gtkind.Of(err).Row().Certainty()).To(gomega.Equal(gtkind.NotRun))
+	})
 }
 
 // tardy is a context whose timer is late: its deadline has passed before it
@@ -192,65 +230,74 @@
 func (t tardy) Deadline() (time.Time, bool) { return t.limit, true }
 
 func TestDeadlineIsNotSilence(t *testing.T) {
-	g := gomega.NewWithT(t)
-	addr, _ := peer(t, func(int, io.Writer, *http.Request) bool { return true })
-	p := newPool(time.Now)
-	defer p.Close()
-	_, err := get(tardy{context.Background(), time.Now().Add(200 * time.Millisecond)}, p, addr, false)
-	g.Expect(gtkind.Of(err).String()).To(gomega.Equal(gtkind.Deadline.String()))
+	onTestClock(t, func(t *testing.T, network *gtpipe.Network) {
+		g := gomega.NewWithT(t)
+		addr, _ := peer(t, network, func(int, io.Writer, *http.Request) bool { return true })
+		p := newPool(network)
+		defer p.Close()
+		_, err := get(tardy{context.Background(), time.Now().Add(200 * time.Millisecond)}, p, addr, false)
+		g.Expect(gtkind.Of(err).String()).To(gomega.Equal(gtkind.Deadline.String()))
+	})
 }
 
-// A caller may go away at any moment of an exchange, also between two signs
-// of life.
+// A caller may go away at any moment of an exchange, also at that of a sign of
+// life.
 func TestCancellationIsNeverLost(t *testing.T) {
-	g := gomega.NewWithT(t)
-	addr, _ := peer(t, func(_ int, w io.Writer, _ *http.Request) bool {
-		for {
-			if _, err := fmt.Fprintf(w, "HTTP/1.1 102 Processing\r\n\r\n"); err != nil {
-				return false
+	const beat, beats = time.Microsecond, 1000
+	onTestClock(t, func(t *testing.T, network *gtpipe.Network) {
+		g := gomega.NewWithT(t)
+		addr, _ := peer(t, network, func(_ int, w io.Writer, _ *http.Request) bool {
+			for range beats {
+				if _, err := fmt.Fprintf(w, "HTTP/1.1 102 Processing\r\n\r\n"); err != nil {
+					return false
+				}
+				<-time.After(beat)
 			}
-			<-time.After(20 * time.Millisecond)
+			return true
+		})
+		p := newPool(network)
+		defer p.Close()
+		for i := range beats {
+			ctx, cancel := context.WithCancel(context.Background())
+			at := time.Duration(i) * beat
+			time.AfterFunc(at, cancel)
+			start := time.Now()
+			_, err := get(ctx, p, addr, false)
+			g.Expect(err).To(gomega.HaveOccurred())
+			g.Expect(time.Since(start)).To(gomega.BeNumerically("<=", at))
+			cancel()
 		}
 	})
-	p := newPool(time.Now)
-	defer p.Close()
-	for i := range 300 {
-		ctx, cancel := context.WithCancel(context.Background())
-		time.AfterFunc(time.Duration(i)*time.Microsecond, cancel)
-		start := time.Now()
-		_, err := get(ctx, p, addr, false)
-		g.Expect(err).To(gomega.HaveOccurred())
-		g.Expect(time.Since(start)).To(gomega.BeNumerically("<", gtlive.Silence))
-		cancel()
-	}
 }
 
 // Signs of life keep a slow answer from counting as silent, and the deadline
 // ends the wait all the same.
 func TestSignsOfLife(t *testing.T) {
-	g := gomega.NewWithT(t)
-	over := make(chan struct{})
-	defer close(over)
-	addr, _ := peer(t, func(_ int, w io.Writer, _ *http.Request) bool {
-		for range 5 {
-			select {
-			case <-over:
-				return false
-			case <-time.After(gtlive.Beat):
-			}
-			if _, err := fmt.Fprintf(w, "HTTP/1.1 102 Processing\r\n\r\n"); err != nil {
-				return false
+	onTestClock(t, func(t *testing.T, network *gtpipe.Network) {
+		g := gomega.NewWithT(t)
+		over := make(chan struct{})
+		defer close(over)
+		addr, _ := peer(t, network, func(_ int, w io.Writer, _ *http.Request) bool {
+			for range 5 {
+				select {
+				case <-over:
+					return false
+				case <-time.After(gtlive.Beat):
+				}
+				if _, err := fmt.Fprintf(w, "HTTP/1.1 102 Processing\r\n\r\n"); err != nil {
+					return false
+				}
 			}
-		}
-		return whole(w)
+			return whole(w)
+		})
+		p := newPool(network)
+		defer p.Close()
+		body, err := get(context.Background(), p, addr, false)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(body).To(gomega.Equal("ok"))
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, err = get(ctx, p, addr, false)
+		g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.Deadline))
 	})
-	p := newPool(time.Now)
-	defer p.Close()
-	body, err := get(context.Background(), p, addr, false)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect(body).To(gomega.Equal("ok"))
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	_, err = get(ctx, p, addr, false)
-	g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.Deadline))
 }
