--- a/io/connection/gtpool/pool_test.go
+++ b/io/connection/gtpool/pool_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/onsi/gomega"
@@ -17,6 +16,7 @@
 	"godwittide/core/connection/gtlive"
 	"godwittide/core/request/gtkind"
 	"godwittide/io/connection/gtpipe"
+	"godwittide/test/gtclock"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -66,15 +66,6 @@
 	return &Pool{Dial: network.Dial, Now: time.Now, Ping: true, Max: 4}
 }
 
-// onTestClock runs a test under a test clock, with a network in memory.
-func onTestClock(t *testing.T, test func(t *testing.T, network *gtpipe.Network)) {
-	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
-		t.Cleanup(func() { <-time.After(time.Minute) }) // threads that wait for a timer end
-		test(t, &gtpipe.Network{})
-	})
-}
-
 func get(ctx context.Context, p *Pool, addr string, idempotent bool) (string, error) {
 	req, _ := http.NewRequest(http.MethodPost, "http://"+addr+"/x", nil)
 	resp, err := p.Do(ctx, addr, "normal", req, idempotent)
@@ -87,7 +78,7 @@
 }
 
 func TestConnectionIsReusedAndBounded(t *testing.T) {
-	onTestClock(t, func(t *testing.T, network *gtpipe.Network) {
+	gtclock.Run(t, func(t *testing.T, network *gtpipe.Network) {
 		g := gomega.NewWithT(t)
 		addr, conns := peer(t, network, func(_ int, w io.Writer, _ *http.Request) bool { return whole(w) })
 		p := newPool(network)
@@ -117,7 +108,7 @@
 // An idle connection that has gone silent must not carry a request that may
 // not be repeated; it is pinged, given up, and a new one is opened.
 func TestSilentIdleConnectionIsNotTrusted(t *testing.T) {
-	onTestClock(t, func(t *testing.T, network *gtpipe.Network) {
+	gtclock.Run(t, func(t *testing.T, network *gtpipe.Network) {
 		g := gomega.NewWithT(t)
 		var silent atomic.Bool
 		var posts atomic.Int64
@@ -147,7 +138,7 @@
 
 // A connection that is in use shows life with each answer, and is not pinged.
 func TestBusyConnectionIsNotPinged(t *testing.T) {
-	onTestClock(t, func(t *testing.T, network *gtpipe.Network) {
+	gtclock.Run(t, func(t *testing.T, network *gtpipe.Network) {
 		g := gomega.NewWithT(t)
 		pings := 0
 		addr, conns := peer(t, network, func(_ int, w io.Writer, r *http.Request) bool {
@@ -192,7 +183,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			onTestClock(t, func(t *testing.T, network *gtpipe.Network) {
+			gtclock.Run(t, func(t *testing.T, network *gtpipe.Network) {
 				g := gomega.NewWithT(t)
 				addr, _ := peer(t, network, c.answer)
 				p := newPool(network)
@@ -209,7 +200,7 @@
 }
 
 func TestRefusedConnectionIsNotRun(t *testing.T) {
-	onTestClock(t, func(t *testing.T, network *gtpipe.Network) {
+	gtclock.Run(t, func(t *testing.T, network *gtpipe.Network) {
 		g := gomega.NewWithT(t)
 		addr := network.Address()
 		p := newPool(network)
@@ -230,7 +221,7 @@
 func (t tardy) Deadline() (time.Time, bool) { return t.limit, true }
 
 func TestDeadlineIsNotSilence(t *testing.T) {
-	onTestClock(t, func(t *testing.T, network *gtpipe.Network) {
+	gtclock.Run(t, func(t *testing.T, network *gtpipe.Network) {
 		g := gomega.NewWithT(t)
 		addr, _ := peer(t, network, func(int, io.Writer, *http.Request) bool { return true })
 		p := newPool(network)
@@ -244,7 +235,7 @@
 // life.
 func TestCancellationIsNeverLost(t *testing.T) {
 	const beat, beats = time.Microsecond, 1000
-	onTestClock(t, func(t *testing.T, network *gtpipe.Network) {
+	gtclock.Run(t, func(t *testing.T, network *gtpipe.Network) {
 		g := gomega.NewWithT(t)
 		addr, _ := peer(t, network, func(_ int, w io.Writer, _ *http.Request) bool {
 			for range beats {
@@ -273,7 +264,7 @@
 // Signs of life keep a slow answer from counting as silent, and the deadline
 // ends the wait all the same.
 func TestSignsOfLife(t *testing.T) {
-	onTestClock(t, func(t *testing.T, network *gtpipe.Network) {
+	gtclock.Run(t, func(t *testing.T, network *gtpipe.Network) {
 		g := gomega.NewWithT(t)
 		over := make(chan struct{})
 		defer close(over)
--- a/io/process/gtlab/carrier.go
+++ b/io/process/gtlab/carrier.go
@@ -20,10 +20,9 @@
 	Address func() string
 }
 
-// Memory returns a network in memory, on which a lab can run under a test
-// clock.
-func Memory() Net {
-	n := &gtpipe.Network{}
+// Over returns connections over a network in memory, on which a lab can run
+// under a test clock.
+func Over(n *gtpipe.Network) Net {
 	return Net{Dial: n.Dial, Listen: n.Listen, Address: n.Address}
 }
 
--- a/io/request/gthop/client_test.go
+++ b/io/request/gthop/client_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -19,27 +18,37 @@
 	"godwittide/core/request/gtkind"
 	"godwittide/core/request/gtonce"
 	"godwittide/core/version/gtevidence"
+	"godwittide/io/connection/gtpipe"
 	"godwittide/io/connection/gtpool"
 	"godwittide/io/process/gttrace"
+	"godwittide/test/gtclock"
 )
 
 // newPool returns a pool that ends with the test.
-func newPool(t *testing.T, ping bool) *gtpool.Pool {
-	pool := &gtpool.Pool{Dial: func(ctx context.Context, addr string) (net.Conn, error) {
-		var d net.Dialer
-		return d.DialContext(ctx, "tcp", addr)
-	}, Now: time.Now, Ping: ping, Max: 4}
+func newPool(t *testing.T, network *gtpipe.Network, ping bool) *gtpool.Pool {
+	pool := &gtpool.Pool{Dial: network.Dial, Now: time.Now, Ping: ping, Max: 4}
 	t.Cleanup(pool.Close)
 	return pool
 }
 
+// serve answers with the given handler, and returns its address.
+func serve(t *testing.T, network *gtpipe.Network, h http.HandlerFunc) string {
+	t.Helper()
+	ln, err := network.Listen(network.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: h}
+	go func() { _ = server.Serve(ln) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return ln.Addr().String()
+}
+
 // sendTo sends a call to a peer that answers with the given handler.
-func sendTo(t *testing.T, h http.HandlerFunc) (gtcall.Answer, *gtpool.Pool, string, error) {
+func sendTo(t *testing.T, network *gtpipe.Network, h http.HandlerFunc) (gtcall.Answer, *gtpool.Pool, string, error) {
 	t.Helper()
-	server := httptest.NewServer(h)
-	t.Cleanup(server.Close)
-	addr := strings.TrimPrefix(server.URL, "http://")
-	pool := newPool(t, true)
+	addr := serve(t, network, h)
+	pool := newPool(t, network, true)
 	cl := &Client{Now: time.Now, Pool: pool, Buffer: 1000, Trace: (&gttrace.Tracer{}).Start}
 	c := gtcall.New("mine", "GET", "/x").WithDeadline(time.Now().Add(time.Second))
 	a, err := cl.Send(context.Background(), gtmember.NewRecord("i", "z", addr, addr), c)
@@ -48,95 +57,104 @@
 
 // An answer to another request reaches nobody, and its connection is closed.
 func TestCrossedAnswerIsNotPassedOn(t *testing.T) {
-	g := gomega.NewWithT(t)
-	for _, id := range []string{"another", ""} {
-		a, pool, addr, err := sendTo(t, func(w http.ResponseWriter, _ *http.Request) {
-			w.Header().Set(HeaderID, id)
-			_, _ = io.WriteString(w, "somebody else's answer")
-		})
-		g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.Crossed))
-		g.Expect(a.Body()).To(gomega.BeEmpty())
-		g.Expect(pool.Open(addr)).To(gomega.BeZero())
-	}
+	gtclock.Run(t, func(t *testing.T, network *gtpipe.Network) {
+		g := gomega.NewWithT(t)
+		for _, id := range []string{"another", ""} {
+			a, pool, addr, err := sendTo(t, network, func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(HeaderID, id)
+				_, _ = io.WriteString(w, "somebody else's answer")
+			})
+			g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.Crossed))
+			g.Expect(a.Body()).To(gomega.BeEmpty())
+			g.Expect(pool.Open(addr)).To(gomega.BeZero())
+		}
+	})
 }
 
 // An answer that breaks off is an error, below the buffer at once, and above
 // it at the end of the stream.
 func TestCutAnswerIsNeverWhole(t *testing.T) {
-	g := gomega.NewWithT(t)
-	for _, size := range []int{100, 100000} {
-		a, _, _, err := sendTo(t, func(w http.ResponseWriter, r *http.Request) {
-			w.Header().Set(HeaderID, r.Header.Get(HeaderID))
-			_, _ = io.WriteString(w, strings.Repeat("x", size))
-			w.(http.Flusher).Flush()
-			panic(http.ErrAbortHandler)
-		})
-		if size < 1000 {
+	gtclock.Run(t, func(t *testing.T, network *gtpipe.Network) {
+		g := gomega.NewWithT(t)
+		for _, size := range []int{100, 100000} {
+			a, _, _, err := sendTo(t, network, func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(HeaderID, r.Header.Get(HeaderID))
+				_, _ = io.WriteString(w, strings.Repeat("x", size))
+				w.(http.Flusher).Flush()
+				panic(http.ErrAbortHandler)
+			})
+			if size < 1000 {
+				g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.Cut))
+				continue
+			}
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			_, err = io.ReadAll(a.Stream())
 			g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.Cut))
-			continue
+			w := httptest.NewRecorder()
+			g.Expect(func() { WriteAnswer(w, a) }).To(gomega.PanicWith(http.ErrAbortHandler), "the caller's connection is cut")
 		}
-		g.Expect(err).NotTo(gomega.HaveOccurred())
-		_, err = io.ReadAll(a.Stream())
-		g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.Cut))
-		w := httptest.NewRecorder()
-		g.Expect(func() { WriteAnswer(w, a) }).To(gomega.PanicWith(http.ErrAbortHandler), "the caller's connection is cut")
-	}
+	})
 }
 
 // A connection whose answer was read to its end is used again, whether the
 // answer's size was told before or not.
 func TestWholeAnswerGivesItsConnectionBack(t *testing.T) {
-	g := gomega.NewWithT(t)
-	for _, size := range []int{0, 1, 500, 1000} {
-		for _, chunked := range []bool{false, true} {
-			a, pool, addr, err := sendTo(t, func(w http.ResponseWriter, r *http.Request) {
-				w.Header().Set(HeaderID, r.Header.Get(HeaderID))
-				if !chunked {
-					w.Header().Set("Content-Length", strconv.Itoa(size))
-				}
-				w.WriteHeader(http.StatusOK)
-				w.(http.Flusher).Flush()
-				_, _ = io.WriteString(w, strings.Repeat("x", size))
-			})
-			g.Expect(err).NotTo(gomega.HaveOccurred())
-			g.Expect(a.Body()).To(gomega.HaveLen(size))
-			g.Expect(pool.Open(addr)).To(gomega.Equal(1), "size %d, chunked %v", size, chunked)
+	gtclock.Run(t, func(t *testing.T, network *gtpipe.Network) {
+		g := gomega.NewWithT(t)
+		for _, size := range []int{0, 1, 500, 1000} {
+			for _, chunked := range []bool{false, true} {
+				a, pool, addr, err := sendTo(t, network, func(w http.ResponseWriter, r *http.Request) {
+					w.Header().Set(HeaderID, r.Header.Get(HeaderID))
+					if !chunked {
+						w.Header().Set("Content-Length", strconv.Itoa(size))
+					}
+					w.WriteHeader(http.StatusOK)
+					w.(http.Flusher).Flush()
+					_, _ = io.WriteString(w, strings.Repeat("x", size))
+				})
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				g.Expect(a.Body()).To(gomega.HaveLen(size))
+				g.Expect(pool.Open(addr)).To(gomega.Equal(1), "size %d, chunked %v", size, chunked)
+			}
 		}
-	}
+	})
 }
 
 // Several attempts of one call may run at once, so that none may write to what
 // they share.
 func TestAttemptLeavesTheCallAsItIs(t *testing.T) {
-	g := gomega.NewWithT(t)
-	var got string
-	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { got = r.Header.Get("Traceparent") }))
-	defer server.Close()
-	b := &Beside{
-		Now: time.Now, Self: func() gtmember.Record { return gtmember.NewRecord("i", "z", "", "") }, ReadyAt: time.Now,
-		Address: strings.TrimPrefix(server.URL, "http://"), Buffer: 1000, Pool: newPool(t, false),
-		Gate: &gtadmit.Gate{Now: time.Now, Slots: 1}, Crashes: &gtonce.Crashes{Now: time.Now}, Ledger: &gtevidence.Ledger{},
-		Trace: func(ctx context.Context, _ string, h http.Header) (context.Context, func(error)) {
-			h.Set("Traceparent", "span")
-			return ctx, func(error) {}
-		},
-	}
-	header := http.Header{"Accept": {"x"}}
-	c := gtcall.New("mine", "GET", "/x").WithDeadline(time.Now().Add(time.Second)).WithHeader(header).WithIdempotent(true)
-	_, err := b.Run(context.Background(), c)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect(got).To(gomega.Equal("span"))
-	g.Expect(header).To(gomega.Equal(http.Header{"Accept": {"x"}}))
+	gtclock.Run(t, func(t *testing.T, network *gtpipe.Network) {
+		g := gomega.NewWithT(t)
+		var got string
+		addr := serve(t, network, func(_ http.ResponseWriter, r *http.Request) { got = r.Header.Get("Traceparent") })
+		b := &Beside{
+			Now: time.Now, Self: func() gtmember.Record { return gtmember.NewRecord("i", "z", "", "") }, ReadyAt: time.Now,
+			Address: addr, Buffer: 1000, Pool: newPool(t, network, false),
+			Gate: &gtadmit.Gate{Now: time.Now, Slots: 1}, Crashes: &gtonce.Crashes{Now: time.Now}, Ledger: &gtevidence.Ledger{},
+			Trace: func(ctx context.Context, _ string, h http.Header) (context.Context, func(error)) {
+				h.Set("Traceparent", "span")
+				return ctx, func(error) {}
+			},
+		}
+		header := http.Header{"Accept": {"x"}}
+		c := gtcall.New("mine", "GET", "/x").WithDeadline(time.Now().Add(time.Second)).WithHeader(header).WithIdempotent(true)
+		_, err := b.Run(context.Background(), c)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(got).To(gomega.Equal("span"))
+		g.Expect(header).To(gomega.Equal(http.Header{"Accept": {"x"}}))
+	})
 }
 
 // A refusal by the other node keeps its kind.
 func TestRefusalKeepsItsKind(t *testing.T) {
-	g := gomega.NewWithT(t)
-	_, _, _, err := sendTo(t, func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set(HeaderID, r.Header.Get(HeaderID))
-		w.Header().Set(HeaderLoad, "3/4")
-		WriteError(w, gtkind.New(gtkind.Full, "no room"))
+	gtclock.Run(t, func(t *testing.T, network *gtpipe.Network) {
+		g := gomega.NewWithT(t)
+		_, _, _, err := sendTo(t, network, func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(HeaderID, r.Header.Get(HeaderID))
+			w.Header().Set(HeaderLoad, "3/4")
+			WriteError(w, gtkind.New(gtkind.Full, "no room"))
+		})
+		g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.Full))
+		g.Expect(gtkind.Detail(err)).To(gomega.ContainSubstring("no room"))
 	})
-	g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.Full))
-	g.Expect(gtkind.Detail(err)).To(gomega.ContainSubstring("no room"))
 }
--- a/test/mesh/mesh_test.go
+++ b/test/mesh/mesh_test.go
@@ -7,14 +7,15 @@
 	"flag"
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"godwittide/io/connection/gtpipe"
 	"godwittide/io/process/gtlab"
+	"godwittide/test/gtclock"
 )
 
 func TestMesh(t *testing.T) {
@@ -43,10 +44,9 @@
 			runOnLoopback(body)
 			return
 		}
-		synctest.Test(suite, func(t *testing.T) {
+		gtclock.Run(suite, func(t *testing.T, memory *gtpipe.Network) {
 			defer ginkgo.GinkgoRecover()
-			network, cleanup = gtlab.Memory(), t.Cleanup
-			cleanup(func() { pause(settle) })
+			network, cleanup = gtlab.Over(memory), t.Cleanup
 			body()
 		})
 	})
@@ -62,10 +62,6 @@
 	body()
 }
 
-// settle is the time for threads that only wait for a timer to end after a
-// spec. One that is still there then fails the spec.
-const settle = time.Minute
-
 // open makes a load ready for single requests.
 func open(load *gtlab.Load) {
 	load.Net = network
