io/process/gtnode: let a node take any free port

Ports of the specs came from a list of their own, checked and then closed, so another process could take one in between. Port 0 in listen.* takes a free one, which the line "node: started" tells; test/path reads it there. Labs on loopback hold each port from its choice to its first use.

listen.hop and listen.peer are told to other nodes, so 0.0.0.0 and [::] are refused: a node that listened there announced an address that nobody reaches. Seen by reading; the case in gtsettings fails without the check.

--- a/io/process/gtlab/lab.go
+++ b/io/process/gtlab/lab.go
@@ -105,7 +105,7 @@
 	Log zerolog.Logger
 	// Delay returns the round trip between two zones; nil means none.
 	Delay func(from, to string) time.Duration
-	// Net carries all connections; its zero value is TCP on loopback.
+	// Net carries all connections; if it is not set, it is Loopback.
 	Net Net
 
 	ctx   context.Context
@@ -133,6 +133,9 @@
 	l.cut, l.away, l.zones = map[string]bool{}, map[string]bool{}, map[string]string{}
 	l.conns, l.hops, l.pieces = map[net.Conn][2]string{}, map[string]bool{}, make(chan piece)
 	l.store = &gtstand.Store{}
+	if l.Net.Address == nil {
+		l.Net = Loopback()
+	}
 	l.addr = l.Net.address()
 	ln, err := l.Net.listen(l.addr)
 	if err != nil {
--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -114,19 +114,25 @@
 func (n *Node) Run(ctx context.Context) error {
 	life, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	if err := n.build(life); err != nil {
+	if err := n.loadKeys(); err != nil {
 		return err
 	}
-	defer n.metrics.Close()
 	listeners, err := n.listen()
 	if err != nil {
 		return err
 	}
+	if err := n.build(life); err != nil {
+		listeners.close()
+		return err
+	}
+	defer n.metrics.Close()
 	n.overlay.Open(life)
 	n.probe(life)
 	n.start(life, listeners)
 	n.running.Store(true)
-	n.Log.Info().Str("instance", n.Settings.Node.Instance).Str("zone", n.Settings.Node.Zone).Msg("node: started")
+	listen := n.Settings.Listen
+	n.Log.Info().Str("instance", n.Settings.Node.Instance).Str("zone", n.Settings.Node.Zone).
+		Str("edge", listen.Edge).Str("hop", listen.Hop).Str("peer", listen.Peer).Str("admin", listen.Admin).Msg("node: started")
 	select {
 	case <-ctx.Done():
 		n.stop(life)
@@ -156,6 +162,16 @@
 	n.abort = make(chan struct{})
 }
 
+// loadKeys reads the TLS files, if the settings name any.
+func (n *Node) loadKeys() error {
+	cfg := n.Settings
+	if !cfg.Secure() {
+		return nil
+	}
+	n.keys = &gttls.Keys{Cert: cfg.TLS.Cert, Key: cfg.TLS.Key, CA: cfg.TLS.CA}
+	return n.keys.Check()
+}
+
 // build makes the parts.
 func (n *Node) build(ctx context.Context) error {
 	cfg := n.Settings
@@ -166,12 +182,6 @@
 		return err
 	}
 	n.tracer = tracer
-	if cfg.Secure() {
-		n.keys = &gttls.Keys{Cert: cfg.TLS.Cert, Key: cfg.TLS.Key, CA: cfg.TLS.CA}
-		if err := n.keys.Check(); err != nil {
-			return err
-		}
-	}
 	n.buildFacts()
 	n.buildStore()
 	n.buildRequests()
--- a/io/process/gtnode/serve.go
+++ b/io/process/gtnode/serve.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,32 +34,47 @@
 	edge, hop, peer, admin net.Listener
 }
 
+// close closes the ports that are open.
+func (l listeners) close() {
+	for _, ln := range []net.Listener{l.edge, l.hop, l.peer, l.admin} {
+		if ln != nil {
+			_ = ln.Close()
+		}
+	}
+}
+
 // servers are the HTTP servers of a node.
 type servers struct {
 	edge, hop, admin *http.Server
 	peer             net.Listener
 }
 
+// listen opens the ports of the settings. An address with port 0 is replaced in
+// the settings by the one that it got.
 func (n *Node) listen() (listeners, error) {
 	var l listeners
 	ports := []struct {
-		addr   string
+		addr   *string
 		secure bool
 		out    *net.Listener
 	}{
-		{n.Settings.Listen.Edge, false, &l.edge},
-		{n.Settings.Listen.Hop, true, &l.hop},
-		{n.Settings.Listen.Peer, true, &l.peer},
-		{n.Settings.Listen.Admin, false, &l.admin},
+		{&n.Settings.Listen.Edge, false, &l.edge},
+		{&n.Settings.Listen.Hop, true, &l.hop},
+		{&n.Settings.Listen.Peer, true, &l.peer},
+		{&n.Settings.Listen.Admin, false, &l.admin},
 	}
 	listen := n.Listen
 	if listen == nil {
 		listen = func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
 	}
 	for _, p := range ports {
-		ln, err := listen(p.addr)
+		ln, err := listen(*p.addr)
 		if err != nil {
-			return l, errorx.Decorate(err, "listen on %s", p.addr)
+			l.close()
+			return l, errorx.Decorate(err, "listen on %s", *p.addr)
+		}
+		if port, err := netip.ParseAddrPort(*p.addr); err == nil && port.Port() == 0 {
+			*p.addr = ln.Addr().String()
 		}
 		if p.secure && n.keys != nil {
 			ln = tls.NewListener(ln, n.keys.Config())
--- a/io/process/gtsettings/settings.go
+++ b/io/process/gtsettings/settings.go
@@ -195,11 +195,14 @@
 }
 
 func (s Settings) checkAddresses() error {
-	listen := []struct{ key, value string }{
-		{"listen.edge", s.Listen.Edge},
-		{"listen.hop", s.Listen.Hop},
-		{"listen.peer", s.Listen.Peer},
-		{"listen.admin", s.Listen.Admin},
+	listen := []struct {
+		key, value string
+		told       bool // other nodes are told the address
+	}{
+		{"listen.edge", s.Listen.Edge, false},
+		{"listen.hop", s.Listen.Hop, true},
+		{"listen.peer", s.Listen.Peer, true},
+		{"listen.admin", s.Listen.Admin, false},
 	}
 	for _, v := range listen {
 		addr, err := netip.ParseAddrPort(v.value)
@@ -209,6 +212,9 @@
 		if !addr.Addr().IsLoopback() && !s.Secure() && !s.Node.Open {
 			return fmt.Errorf("%s: listens beyond loopback without [tls]; set the tls files, or node.open = true on a network that you trust", v.key)
 		}
+		if v.told && addr.Addr().IsUnspecified() {
+			return fmt.Errorf("%s: other nodes connect to this address; name the IP of the instance, not %s", v.key, addr.Addr())
+		}
 	}
 	if _, err := netip.ParseAddrPort(s.Backend.Address); err != nil {
 		return fmt.Errorf("backend.address: expected an IP and a port, found %q", s.Backend.Address)
--- a/io/process/gtsettings/settings_test.go
+++ b/io/process/gtsettings/settings_test.go
@@ -36,11 +36,12 @@
 
 func TestBadSettingsAreRefusedWithTheirPlace(t *testing.T) {
 	for text, want := range map[string]string{
-		good + "colour = \"red\"\n":                                 "x.toml:9: backend.colour: unknown key",
-		good + "slots = \"many\"\n":                                 "x.toml:9",
-		good + "slots = 0\n":                                        "backend.slots: must be from 1",
-		good + "[listen]\nedge = \"example.org:80\"\n":              "listen.edge: expected an IP",
-		good + "[listen]\nhop = \"0.0.0.0:7401\"\n":                 "listen.hop: listens beyond loopback without [tls]",
+		good + "colour = \"red\"\n":                    "x.toml:9: backend.colour: unknown key",
+		good + "slots = \"many\"\n":                    "x.toml:9",
+		good + "slots = 0\n":                           "backend.slots: must be from 1",
+		good + "[listen]\nedge = \"example.org:80\"\n": "listen.edge: expected an IP",
+		good + "[listen]\nhop = \"0.0.0.0:7401\"\n":    "listen.hop: listens beyond loopback without [tls]",
+		strings.Replace(good, "[node]", "[listen]\npeer = \"0.0.0.0:7402\"\n[node]\nopen = true", 1): "listen.peer: other nodes connect to this address",
 		good + "[tls]\ncert = \"x\"\n":                              "tls: cert, key and ca go together",
 		good + "[limit]\ndrain = \"soon\"\n":                        "x.toml:10",
 		strings.Replace(good, `"i1"`, `""`, 1):                      "node.instance: needs 1 to 64",
--- a/test/mesh/mesh_test.go
+++ b/test/mesh/mesh_test.go
@@ -58,7 +58,7 @@
 }
 
 func runOnLoopback(body func()) {
-	network, cleanup = gtlab.Net{}, func(fn func()) { ginkgo.DeferCleanup(fn) }
+	network, cleanup = gtlab.Loopback(), func(fn func()) { ginkgo.DeferCleanup(fn) }
 	body()
 }
 
--- a/test/path/path_test.go
+++ b/test/path/path_test.go
@@ -10,14 +10,15 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
-	"godwittide/io/process/gtlab"
 	"godwittide/io/process/gtnode"
 )
 
@@ -36,13 +37,44 @@
 path = "/lending"
 `
 
+// anyPort lets a program take a free port; it says which one it took.
+const anyPort = "127.0.0.1:0"
+
 // process is one program that a spec has started.
 type process struct {
 	cmd   *exec.Cmd
+	out   *output
 	admin string
 	edge  string
 }
 
+// output keeps what a program writes.
+type output struct {
+	mu   sync.Mutex
+	text []byte
+}
+
+// Write takes what the program writes.
+func (o *output) Write(b []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.text = append(o.text, b...)
+	return ginkgo.GinkgoWriter.Write(b)
+}
+
+// find waits for a line that matches, and returns its groups.
+func (o *output) find(pattern string) []string {
+	re := regexp.MustCompile(pattern)
+	var found []string
+	gomega.Eventually(func() []string {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		found = re.FindStringSubmatch(string(o.text))
+		return found
+	}, "10s", "20ms").ShouldNot(gomega.BeEmpty(), "no line like %s", pattern)
+	return found[1:]
+}
+
 type site struct {
 	dir   string
 	store string
@@ -59,9 +91,9 @@
 
 func (s *site) start(name string, args ...string) *process {
 	cmd := exec.Command(filepath.Join(s.dir, name), args...)
-	cmd.Stdout, cmd.Stderr = ginkgo.GinkgoWriter, ginkgo.GinkgoWriter
+	p := &process{cmd: cmd, out: &output{}}
+	cmd.Stdout, cmd.Stderr = p.out, p.out
 	gomega.Expect(cmd.Start()).To(gomega.Succeed())
-	p := &process{cmd: cmd}
 	s.procs = append(s.procs, p)
 	ginkgo.DeferCleanup(func() {
 		_ = cmd.Process.Kill()
@@ -83,35 +115,34 @@
 
 // node starts a backend server and the node beside it.
 func (s *site) node(name, zone string, peers ...string) (*process, string) {
-	backend, peer := gtlab.FreeAddress(), gtlab.FreeAddress()
-	edge, admin := gtlab.FreeAddress(), gtlab.FreeAddress()
-	s.start("godwitstand", "backend", "--listen", backend, "--name", name)
+	backend := s.start("godwitstand", "backend", "--listen", anyPort, "--name", name).out.find(`listens on ([^; ]+);`)[0]
 	quoted := make([]string, len(peers))
 	for i, p := range peers {
 		quoted[i] = fmt.Sprintf("%q", p)
 	}
 	text := fmt.Sprintf(`
 [node]
-instance = %q
-zone = %q
-peers = [%s]
+instance = %[1]q
+zone = %[2]q
+peers = [%[3]s]
 [listen]
-edge = %q
-hop = %q
-peer = %q
-admin = %q
+edge = %[4]q
+hop = %[4]q
+peer = %[4]q
+admin = %[4]q
 [backend]
-address = %q
+address = %[5]q
 service = "lending"
 version = "1"
 [store]
-endpoint = "http://%s"
-`, name, zone, strings.Join(quoted, ", "), edge, gtlab.FreeAddress(), peer, admin, backend, s.store)
+endpoint = "http://%[6]s"
+`, name, zone, strings.Join(quoted, ", "), anyPort, backend, s.store)
 	file := filepath.Join(s.dir, name+".toml")
 	gomega.Expect(os.WriteFile(file, []byte(text), 0o600)).To(gomega.Succeed())
 	p := s.start("godwittide", "node", "--settings", file)
-	p.admin, p.edge = admin, edge
-	return p, peer
+	found := p.out.find(`"edge":"([^"]+)".*"peer":"([^"]+)","admin":"([^"]+)".*node: started`)
+	p.edge, p.admin = found[0], found[2]
+	return p, found[1]
 }
 
 func (s *site) folder(files map[string]string) string {
@@ -148,8 +179,8 @@
 
 var _ = ginkgo.Describe("separate processes", func() {
 	ginkgo.It("serve a request end to end, survive a kill, and refuse a bad push", func() {
-		s := &site{dir: build(), store: gtlab.FreeAddress()}
-		s.start("godwitstand", "store", "--listen", s.store)
+		s := &site{dir: build()}
+		s.store = s.start("godwitstand", "store", "--listen", anyPort).out.find(`store listens on ([^; ]+);`)[0]
 		a, peer := s.node("a1", "z1")
 		b, _ := s.node("b1", "z2", peer)
 		c, _ := s.node("c1", "z2") // finds the others by the contact list
