--- a/cmd/godwittide/version.go
+++ b/cmd/godwittide/version.go
@@ -13,6 +13,9 @@
 
 type versionCommand struct{}
 
+// Help returns examples.
+func (c *versionCommand) Help() string { return gtcommand.Examples("godwittide version --json") }
+
 // Run shows the version.
 func (c *versionCommand) Run(env gtcommand.Env) error {
 	version := "development"
