core/request/gtadmit: keep a queue short that does not empty

A queue that was empty within the last 250 ms is a burst and may fill that time; one that stands for longer is kept to two places for each slot, as before.

measure admit prints the median and the 95th percentile too.

--- a/cmd/godwitstand/admit.go
+++ b/cmd/godwitstand/admit.go
@@ -25,6 +25,8 @@
 	Factor   float64 `json:"factor"`
 	Fixed    bool    `json:"fixed"`
 	Goodput  float64 `json:"goodput"`
+	P50      float64 `json:"p50"`
+	P95      float64 `json:"p95"`
 	P99      float64 `json:"p99"`
 	Refused  float64 `json:"refused"`
 	Shed     float64 `json:"shed"`
@@ -46,8 +48,8 @@
 			if fixed {
 				name = "fixed"
 			}
-			env.Printf("%-8s limit, %.1f times capacity: goodput %.0f/s, p99 of answers %.1f ms, refused %.0f%% (in %.2f ms), shed by the server %.0f%%\n",
-				name, f, row.Goodput, row.P99, 100*row.Refused, row.RefuseMS, 100*row.Shed)
+			env.Printf("%-8s limit, %.1f times capacity: goodput %.0f/s, answers p50 %.1f, p95 %.1f, p99 %.1f ms, refused %.0f%% (in %.2f ms), shed by the server %.0f%%\n",
+				name, f, row.Goodput, row.P50, row.P95, row.P99, 100*row.Refused, row.RefuseMS, 100*row.Shed)
 		}
 	}
 	return env.Print(rows)
@@ -91,7 +93,8 @@
 	}
 	n := float64(len(results))
 	row.Goodput = float64(len(good)) / c.Time.Seconds()
-	row.P99, row.RefuseMS = ms(good, 0.99), ms(refused, 0.5)
+	row.P50, row.P95, row.P99 = ms(good, 0.5), ms(good, 0.95), ms(good, 0.99)
+	row.RefuseMS = ms(refused, 0.5)
 	row.Refused, row.Shed = float64(len(refused))/n, float64(shed)/n
 	return row, nil
 }
--- a/core/request/gtadmit/gate.go
+++ b/core/request/gtadmit/gate.go
@@ -31,10 +31,10 @@
 const (
 	// MaxWait is the longest time that a request is let wait for its turn.
 	MaxWait = 250 * time.Millisecond
-	// queuePerSlot bounds the queue of each class, for each slot, while the time
-	// that requests take is not known.
+	// queuePerSlot bounds the queue of each class, for each slot, unless it is
+	// that of a burst.
 	queuePerSlot = 2
-	// maxQueue bounds the queue of each class in all cases, for its memory.
+	// maxQueue bounds the queue of a burst, for its memory.
 	maxQueue = 1024
 	// fastMemory is how long after the last fast request a part of the limit
 	// stays kept for that class.
@@ -77,6 +77,7 @@
 	running [classes]int
 	queue   [classes][]*Ticket
 	mean    [classes]time.Duration
+	emptyAt [classes]time.Time
 	fastAt  time.Time
 	refused uint64
 	closed  gtkind.Kind
@@ -161,7 +162,10 @@
 // ahead is too long.
 func (g *Gate) wait(t *Ticket, now time.Time) error {
 	q := g.queue[t.class]
-	if len(q) >= g.queueRoom(t.class) {
+	if len(q) == 0 {
+		g.emptyAt[t.class] = now
+	}
+	if len(q) >= g.queueRoom(t.class, now) {
 		return gtkind.New(gtkind.Full, "admission queue is full")
 	}
 	ahead := len(q) + 1
@@ -183,11 +187,12 @@
 	return nil
 }
 
-// queueRoom returns how many requests may wait. Once the time that they take is
-// known, the expected wait is the bound.
-func (g *Gate) queueRoom(class gtconfig.Class) int {
-	if g.mean[class] == 0 {
-		return min(queuePerSlot*g.Slots, maxQueue)
+// queueRoom returns how many requests may wait. A queue that was empty a moment
+// ago is a burst: it has room for all that can run within MaxWait, as far as
+// that is known. One that stands for longer only makes all requests late.
+func (g *Gate) queueRoom(class gtconfig.Class, now time.Time) int {
+	if g.mean[class] == 0 || now.Sub(g.emptyAt[class]) > MaxWait {
+		return queuePerSlot * g.Slots
 	}
 	return maxQueue
 }
--- a/core/request/gtadmit/gate_test.go
+++ b/core/request/gtadmit/gate_test.go
@@ -163,6 +163,20 @@
 	g.Expect(s.longest).To(gomega.BeNumerically("<=", MaxWait))
 }
 
+// Under an overload that lasts, a queue that is never empty serves nobody
+// better: it only makes all that run wait.
+func TestStandingQueueStaysShort(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const slots, capacity = 16, 8
+	s := newServer(slots, capacity)
+	s.offer(600, 20*time.Second)
+	s.offer(1600, 2*time.Second)
+	s.longest, s.good = 0, 0
+	s.offer(1600, 10*time.Second)
+	g.Expect(s.longest).To(gomega.BeNumerically("<=", s.work+queuePerSlot*slots*s.work/(capacity/2)))
+	g.Expect(s.good).To(gomega.BeNumerically(">", 7200), "nine tenths of what it can run")
+}
+
 // After a start nothing is known of the time that requests take. Bursts must
 // not pile up at a server that bears one at a time.
 func TestBurstAtColdServerDoesNotPileUp(t *testing.T) {
