core/request/gtroute: ask a server that was down again soon

Cause: each failed attempt in a row doubles the time for which an instance is left out, up to 8 s, also where its node answered at once that the backend server is down. A server that crashed and returned a few times got no request for up to 8 s after it was well, though asking it costs a caller nothing.

Down now leaves out for at most 1 s; failures that cost callers time, such as silence, keep the 8 s.

--- a/core/request/gtroute/load.go
+++ b/core/request/gtroute/load.go
@@ -14,6 +14,9 @@
 	// failures in a row.
 	ejectFirst = 500 * time.Millisecond
 	ejectMax   = 8 * time.Second
+	// ejectDown bounds it where the node itself answered that its backend server
+	// is down: to ask again costs callers no time.
+	ejectDown = time.Second
 	// ejectedLoad is the load of an instance that is left out: above any that
 	// is merely full.
 	ejectedLoad = 1000
@@ -67,10 +70,18 @@
 			return
 		}
 		p.failures++
-		p.ejectedTo = now.Add(min(ejectFirst<<min(p.failures-1, 10), ejectMax))
+		p.ejectedTo = now.Add(min(ejectFirst<<min(p.failures-1, 10), longest(k)))
 	})
 }
 
+// longest returns the longest time that a failure of the kind ejects for.
+func longest(k gtkind.Kind) time.Duration {
+	if k == gtkind.Down {
+		return ejectDown
+	}
+	return ejectMax
+}
+
 // blames says whether a kind speaks against the instance itself.
 func blames(k gtkind.Kind) bool {
 	switch k {
