--- a/core/request/gtroute/load.go
+++ b/core/request/gtroute/load.go
@@ -70,12 +70,12 @@
 			return
 		}
 		p.failures++
-		p.ejectedTo = now.Add(min(ejectFirst<<min(p.failures-1, 10), longest(k)))
+		p.ejectedTo = now.Add(min(ejectFirst<<min(p.failures-1, 10), ejectLimit(k)))
 	})
 }
 
-// longest returns the longest time that a failure of the kind ejects for.
-func longest(k gtkind.Kind) time.Duration {
+// ejectLimit returns the longest time that a failure of the kind ejects for.
+func ejectLimit(k gtkind.Kind) time.Duration {
 	if k == gtkind.Down {
 		return ejectDown
 	}
--- a/core/request/gtroute/load_test.go
+++ b/core/request/gtroute/load_test.go
@@ -20,7 +20,7 @@
 		period  = 1500 * time.Millisecond
 		away    = time.Second
 		periods = 8
-		longest = time.Minute
+		limit   = time.Minute
 	)
 	start := time.Unix(1000, 0)
 	now := start
@@ -30,7 +30,7 @@
 		gtmember.NewRecord("well", "z1", "", "").WithBackend("s", "1", 10),
 	}
 	returned := start.Add((periods-1)*period + away)
-	for ; now.Sub(returned) < longest; now = now.Add(step) {
+	for ; now.Sub(returned) < limit; now = now.Add(step) {
 		r := rt.balance(list)
 		rt.Begin(r.Instance())
 		if r.Instance() == "well" {
--- a/test/mesh/mesh_test.go
+++ b/test/mesh/mesh_test.go
@@ -135,6 +135,12 @@
 
 // during runs a load while fn runs, and returns its results.
 func during(load *gtlab.Load, fn func()) []gtlab.Result {
+	runBeside(load, fn)
+	return load.Results()
+}
+
+// runBeside ends the load also when a check of fn fails.
+func runBeside(load *gtlab.Load, fn func()) {
 	load.Net = network
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -142,10 +148,11 @@
 		defer close(done)
 		load.Run(ctx)
 	}()
+	defer func() {
+		cancel()
+		<-done
+	}()
 	fn()
-	cancel()
-	<-done
-	return load.Results()
 }
 
 // pause lets time pass while others work.
