--- a/cmd/godwittide/node.go
+++ b/cmd/godwittide/node.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return err
 	}
-	gtnode.TuneMemory()
+	gtnode.TuneMemory(0)
 	node := &gtnode.Node{Settings: cfg, Log: log}
 	node.Open()
 	return node.Run(env.Context())
--- a/core/process/gtmember/table.go
+++ b/core/process/gtmember/table.go
@@ -77,6 +77,16 @@
 	return t.Self()
 }
 
+// TurnBackend moves the node's own record to a state of a backend server of the
+// given version and number of slots, in the next incarnation, and returns it.
+func (t *Table) TurnBackend(version string, slots int, s State) Record {
+	t.selfMu.Lock()
+	defer t.selfMu.Unlock()
+	own := t.Self()
+	t.setSelf(own.WithBackend(own.service, version, slots).WithState(s).WithIncarnation(own.incarnation + 1))
+	return t.Self()
+}
+
 // Self returns the node's own record.
 func (t *Table) Self() Record {
 	if p := t.self.Load(); p != nil {
--- a/core/request/gtadmit/gate.go
+++ b/core/request/gtadmit/gate.go
@@ -44,7 +44,10 @@
 	// serviceWeight is the weight of the newest answer in the mean latency.
 	serviceWeight = 0.1
 
-	classes = 2
+	classes = gtconfig.Classes
+	// coldBurst is how many requests a cold backend server may get at once, as
+	// a part of those that it bears in a second.
+	coldBurst = 0.25
 )
 
 // Result is what came of a request that ran.
@@ -81,6 +84,30 @@
 	fastAt  time.Time
 	refused uint64
 	closed  gtkind.Kind
+	cold    cold
+}
+
+// cold bounds the rate of requests to a cold backend server.
+type cold struct {
+	rate   float64
+	until  time.Time
+	tokens float64
+	at     time.Time
+}
+
+// take takes a place for one more request, and says whether there is one.
+func (c *cold) take(now time.Time) bool {
+	if !now.Before(c.until) {
+		return true
+	}
+	most := max(1, coldBurst*c.rate)
+	c.tokens = min(most, c.tokens+c.rate*now.Sub(c.at).Seconds())
+	c.at = now
+	if c.tokens < 1 {
+		return false
+	}
+	c.tokens--
+	return true
 }
 
 // Ticket is one request's place at the gate.
@@ -106,6 +133,10 @@
 	if !now.Before(deadline) {
 		return nil, gtkind.New(gtkind.Expired, "deadline passed before the request ran")
 	}
+	if !g.cold.take(now) {
+		g.refused++
+		return nil, gtkind.New(gtkind.Full, "backend server is cold and has its share of requests")
+	}
 	if class == gtconfig.Fast {
 		g.fastAt = now
 	}
@@ -133,9 +164,18 @@
 	return now
 }
 
+// busy returns the number of requests that run.
+func (g *Gate) busy() int {
+	n := 0
+	for _, r := range g.running {
+		n += r
+	}
+	return n
+}
+
 func (g *Gate) room(class gtconfig.Class, now time.Time) bool {
 	limit := g.limit.whole()
-	total := g.running[gtconfig.Fast] + g.running[gtconfig.Normal]
+	total := g.busy()
 	if class == gtconfig.Fast {
 		return total < limit
 	}
@@ -154,7 +194,7 @@
 func (g *Gate) grant(t *Ticket) {
 	t.running = true
 	g.running[t.class]++
-	t.busy = g.running[gtconfig.Fast]+g.running[gtconfig.Normal] >= g.limit.whole()
+	t.busy = g.busy() >= g.limit.whole()
 	close(t.granted)
 }
 
@@ -169,8 +209,8 @@
 		return gtkind.New(gtkind.Full, "admission queue is full")
 	}
 	ahead := len(q) + 1
-	if t.class == gtconfig.Normal {
-		ahead += len(g.queue[gtconfig.Fast])
+	for c := range t.class {
+		ahead += len(g.queue[c])
 	}
 	mean := g.mean[t.class]
 	wait := time.Duration(float64(mean) * float64(ahead) / g.limit.limit)
@@ -246,7 +286,7 @@
 	case Good:
 		g.limit.observe(route, latency, t.busy, now)
 	case Shed:
-		g.limit.shed(g.running[gtconfig.Fast]+g.running[gtconfig.Normal], now)
+		g.limit.shed(g.busy(), now)
 	case Failed:
 	}
 }
@@ -282,6 +322,37 @@
 	g.mean = [classes]time.Duration{}
 }
 
+// Chill bounds the rate of requests, a second, for as long as the backend server
+// stays cold. A rate of 0 lifts the bound.
+func (g *Gate) Chill(rate float64, left time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.begin()
+	if rate <= 0 || left <= 0 {
+		g.cold.until = now
+		return
+	}
+	if !now.Before(g.cold.until) {
+		g.cold.tokens, g.cold.at = 1, now
+	}
+	g.cold.rate, g.cold.until = rate, now.Add(left)
+}
+
+// Resize sets the number of slots, and lifts the limit to it.
+func (g *Gate) Resize(slots int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.begin()
+	if slots == g.Slots {
+		return
+	}
+	g.Slots = slots
+	g.limit.reset(slots, now)
+	if g.Fixed {
+		g.limit.limit = float64(slots)
+	}
+}
+
 // Close makes the gate refuse new requests with the given kind. Requests that
 // wait or run are not touched. None opens it again.
 func (g *Gate) Close(k gtkind.Kind) {
--- a/core/request/gtcall/call.go
+++ b/core/request/gtcall/call.go
@@ -40,6 +40,7 @@
 	nested     bool
 	hops       int
 	crashes    int
+	most       int
 	deadline   time.Time
 }
 
@@ -99,6 +100,10 @@
 // request in flight.
 func (c Call) Crashes() int { return c.crashes }
 
+// Most returns on how many backend servers the request may be tried, or 0 for
+// no bound.
+func (c Call) Most() int { return c.most }
+
 // Deadline returns when the caller stops waiting.
 func (c Call) Deadline() time.Time { return c.deadline }
 
@@ -160,6 +165,12 @@
 	return c
 }
 
+// WithMost returns a copy that may be tried on n backend servers.
+func (c Call) WithMost(n int) Call {
+	c.most = n
+	return c
+}
+
 // WithDeadline returns a copy with the time when the caller stops waiting.
 func (c Call) WithDeadline(t time.Time) Call {
 	c.deadline = t
--- a/core/request/gtkind/kind.go
+++ b/core/request/gtkind/kind.go
@@ -45,6 +45,7 @@
 	Crossed
 	Crashed
 	Shed
+	Turned
 	Conflict
 	Forgotten
 	Canceled
@@ -131,6 +132,7 @@
 	Crossed:     {"crossed", Unknown, 502, true, time.Second, true},
 	Crashed:     {"crashed", Unknown, 502, true, time.Second, true},
 	Shed:        {"shed", Unknown, 503, true, time.Second, true},
+	Turned:      {"turned", NotRun, 503, true, time.Second, true},
 	Conflict:    {"conflict", Unknown, 409, false, 0, false},
 	Forgotten:   {"forgotten", Unknown, 409, false, 0, false},
 	Canceled:    {"canceled", Unknown, 499, false, 0, false},
@@ -145,6 +147,10 @@
 	return table[k]
 }
 
+// Reached says whether the request may have got to a backend server, whatever
+// became of it there.
+func (k Kind) Reached() bool { return k == Turned || k.Row().certainty != NotRun }
+
 // String returns the kind's name.
 func (k Kind) String() string { return k.Row().name }
 
--- a/core/request/gtretry/retry.go
+++ b/core/request/gtretry/retry.go
@@ -39,6 +39,8 @@
 	idempotent bool
 	nested     bool
 	left       time.Duration
+	reached    int
+	most       int
 }
 
 // NewAttempt returns a failed attempt: its service, how it failed, how many
@@ -60,6 +62,13 @@
 	return a
 }
 
+// Reached returns a copy that says how many backend servers the request has got
+// to, and how many it may get to; 0 means that no bound is set.
+func (a Attempt) Reached(n, most int) Attempt {
+	a.reached, a.most = n, most
+	return a
+}
+
 // Policy holds the budgets, sharded by service.
 type Policy struct {
 	// Now reads the timer service's clock. It is set before use.
@@ -85,6 +94,9 @@
 	if a.count >= MaxAttempts || a.left <= 0 || !row.Elsewhere() {
 		return false
 	}
+	if a.most > 0 && a.reached >= a.most {
+		return false
+	}
 	if row.Certainty() != gtkind.NotRun && !a.idempotent {
 		return false
 	}
--- a/core/request/gtroute/route.go
+++ b/core/request/gtroute/route.go
@@ -74,7 +74,7 @@
 	}
 	versions := rt.versions(cfg, service, q)
 	for _, v := range versions {
-		list := ofVersion(usable, v)
+		list := ofVersion(usable, v, newVersion(cfg, service))
 		if len(list) == 0 {
 			continue
 		}
@@ -147,13 +147,21 @@
 	return false
 }
 
-func ofVersion(list []gtmember.Record, version string) []gtmember.Record {
+// newVersion returns the version that the service moves to, or "".
+func newVersion(cfg *gtconfig.Config, s gtconfig.Service) string {
+	m, _ := cfg.Move(s.Name())
+	return m.To()
+}
+
+// ofVersion returns the instances of a version; for gtconfig.Others those of
+// any but the new one.
+func ofVersion(list []gtmember.Record, version, to string) []gtmember.Record {
 	if version == "" {
 		return list
 	}
 	var out []gtmember.Record
 	for _, r := range list {
-		if r.Version() == version {
+		if r.Version() == version || version == gtconfig.Others && r.Version() != to {
 			out = append(out, r)
 		}
 	}
--- a/core/version/gtconfig/config.go
+++ b/core/version/gtconfig/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -13,16 +14,38 @@
 const (
 	// Fast is for internal checks that others wait for.
 	Fast Class = iota
-	// Normal is for all other requests.
+	// Normal is for all other requests. The ranks of routes make further,
+	// less urgent classes of it, up to Normal+MaxRank.
 	Normal
+	// Classes is the number of classes.
+	Classes = int(Normal) + MaxRank + 1
 )
 
 // String returns the class's name.
 func (c Class) String() string {
-	if c == Fast {
+	switch c {
+	case Fast:
 		return "fast"
+	case Normal:
+		return "normal"
+	default:
+		return "normal-" + strconv.Itoa(int(c-Normal))
 	}
-	return "normal"
+}
+
+// Lane returns the name of the connections that requests of the class share:
+// urgent ones do not wait behind the others.
+func (c Class) Lane() string { return min(c, Normal).String() }
+
+// ParseClass returns the class with the given name, and Normal for a name that
+// is none.
+func ParseClass(name string) Class {
+	for c := range Class(Classes) {
+		if c.String() == name {
+			return c
+		}
+	}
+	return Normal
 }
 
 // Service is a group of backend servers that answer the same requests.
@@ -30,6 +53,9 @@
 	name    string
 	version string
 	timeout time.Duration
+
+	connections int
+	coldRate    float64
 }
 
 // Name returns the service's name.
@@ -42,16 +68,37 @@
 // Timeout returns the time limit of a call.
 func (s Service) Timeout() time.Duration { return s.timeout }
 
+// Connections returns how many connections a backend server of the service
+// takes, or 0 if the configuration does not say.
+func (s Service) Connections() int { return s.connections }
+
+// ColdRate returns how many requests a second a backend server bears while it
+// is cold, or 0 if the configuration does not say.
+func (s Service) ColdRate() float64 { return s.coldRate }
+
+// Part is one of the services that a route's requests are split among.
+type Part struct {
+	service string
+	weight  float64
+}
+
+// Service returns the service's name.
+func (p Part) Service() string { return p.service }
+
+// Weight returns the part's weight among all parts.
+func (p Part) Weight() float64 { return p.weight }
+
 // Route says which requests go to a service, and how.
 type Route struct {
-	name    string
-	service string
-	host    string
-	path    string
-	methods []string
-	repeat  Repeat
-	class   Class
-	timeout time.Duration
+	name     string
+	parts    []Part
+	host     string
+	path     string
+	methods  []string
+	repeat   Repeat
+	class    Class
+	attempts int
+	timeout  time.Duration
 }
 
 // Repeat says which requests of a route may be repeated.
@@ -70,8 +117,27 @@
 // Name returns the route's name.
 func (r Route) Name() string { return r.name }
 
-// Service returns the name of the service that requests go to.
-func (r Route) Service() string { return r.service }
+// Parts returns the services that requests go to. The slice is shared.
+func (r Route) Parts() []Part { return r.parts }
+
+// Service returns the service for a draw from [0,1), by the weights.
+func (r Route) Service(draw float64) string {
+	total := 0.0
+	for _, p := range r.parts {
+		total += p.weight
+	}
+	left := draw * total
+	for _, p := range r.parts {
+		if left -= p.weight; left < 0 {
+			return p.service
+		}
+	}
+	return r.parts[len(r.parts)-1].service
+}
+
+// Attempts returns on how many backend servers a request may be tried, or 0 if
+// the configuration does not say.
+func (r Route) Attempts() int { return r.attempts }
 
 // Class returns the class of the requests.
 func (r Route) Class() Class { return r.class }
@@ -108,6 +174,9 @@
 	return len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || path[len(prefix)] == '/'
 }
 
+// Others stands as a move's old version for every version but the new one.
+const Others = "*"
+
 // Move takes a service from one version to another by a given time.
 type Move struct {
 	name    string
@@ -115,6 +184,7 @@
 	from    string
 	to      string
 	by      time.Time
+	within  time.Duration
 	start   float64
 	watch   time.Duration
 }
@@ -125,14 +195,25 @@
 // Service returns the service that moves.
 func (m Move) Service() string { return m.service }
 
-// From returns the old version.
+// From returns the old version, or Others.
 func (m Move) From() string { return m.from }
 
 // To returns the new version.
 func (m Move) To() string { return m.to }
 
-// By returns the time at which the new version should have all requests.
-func (m Move) By() time.Time { return m.by }
+// By returns the time at which the new version should have all requests, for a
+// move that started at the given time.
+func (m Move) By(started time.Time) time.Time {
+	if m.by.IsZero() {
+		return started.Add(m.within)
+	}
+	return m.by
+}
+
+// IsFrom says whether a version is the old one.
+func (m Move) IsFrom(version string) bool {
+	return version == m.from || m.from == Others && version != m.to
+}
 
 // Start returns the share of requests to begin with, above 0 and up to 1.
 func (m Move) Start() float64 { return m.start }
--- a/core/version/gtconfig/merge.go
+++ b/core/version/gtconfig/merge.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -19,6 +20,17 @@
 	DefaultStart = 0.05
 	// DefaultWatch is how long faults are looked for after a move's end.
 	DefaultWatch = 5 * time.Minute
+	// MaxRank is the rank of the least urgent requests.
+	MaxRank = 3
+	// MaxAttempts is the largest number of backend servers for one request.
+	MaxAttempts = 10
+	// MaxWeight is the largest weight of a service in a split.
+	MaxWeight = 1e6
+	// MaxConnections is the largest number of connections to a backend server.
+	MaxConnections = 10000
+	// MaxRate is the largest rate of a cold backend server, in requests a
+	// second.
+	MaxRate = 1e6
 	// MaxFiles is the largest number of files in a folder.
 	MaxFiles = 4096
 	// MaxFileBytes is the largest size of one file.
@@ -27,13 +39,15 @@
 
 // keys lists, for each section, the keys it takes and their types.
 var keys = map[string]map[string]ValueType{
-	"service": {"version": TypeString, "timeout": TypeString},
+	"service": {
+		"version": TypeString, "timeout": TypeString, "connections": TypeNumber, "coldrate": TypeNumber,
+	},
 	"route": {
-		"service": TypeString, "host": TypeString, "path": TypeString, "method": TypeList,
-		"repeat": TypeBool, "class": TypeString, "timeout": TypeString,
+		"service": TypeString, "split": TypeList, "host": TypeString, "path": TypeString, "method": TypeList,
+		"repeat": TypeBool, "class": TypeString, "rank": TypeNumber, "attempts": TypeNumber, "timeout": TypeString,
 	},
 	"move": {
-		"service": TypeString, "from": TypeString, "to": TypeString, "by": TypeTime,
+		"service": TypeString, "from": TypeString, "to": TypeString, "by": TypeTime, "within": TypeString,
 		"start": TypeNumber, "watch": TypeString,
 	},
 	"zone": {"out": TypeBool},
@@ -135,12 +149,16 @@
 }
 
 func (m *merger) service(name string, g group) Service {
-	return Service{name: name, version: g.text("version"), timeout: m.duration(g, "timeout", DefaultTimeout)}
+	return Service{
+		name: name, version: g.text("version"), timeout: m.duration(g, "timeout", DefaultTimeout),
+		connections: int(m.number(g, "connections", 0, MaxConnections)), coldRate: m.number(g, "coldrate", 0, MaxRate),
+	}
 }
 
 func (m *merger) route(cfg *Config, name string, g group) Route {
 	r := Route{name: name, host: g.text("host"), path: g.text("path"), timeout: m.duration(g, "timeout", 0)}
-	r.service = m.serviceOf(cfg, "route", name, g)
+	r.parts = m.parts(cfg, name, g)
+	r.attempts = int(m.number(g, "attempts", 0, MaxAttempts))
 	if !strings.HasPrefix(r.path, "/") {
 		m.refuse(g.at("route", name, "path"), "a route needs a path that begins with /")
 	}
@@ -156,7 +174,7 @@
 			r.repeat = RepeatAlways
 		}
 	}
-	r.class = Normal
+	r.class = Normal + Class(m.number(g, "rank", 0, MaxRank))
 	switch g.text("class") {
 	case "", "normal":
 	case "fast":
@@ -167,6 +185,49 @@
 	return r
 }
 
+// parts returns the services that a route's requests go to, with their weights.
+func (m *merger) parts(cfg *Config, name string, g group) []Part {
+	e, ok := g["split"]
+	if !ok {
+		return []Part{{service: m.serviceOf(cfg, "route", name, g), weight: 1}}
+	}
+	if g.text("service") != "" {
+		m.refuse(e, "a route takes either service or split")
+	}
+	var parts []Part
+	total := 0.0
+	for _, text := range e.value.list {
+		service, weight, _ := strings.Cut(text, "=")
+		w, err := strconv.ParseFloat(weight, 64)
+		if err != nil || !(w >= 0 && w <= MaxWeight) {
+			m.refuse(e, "expected \"SERVICE=WEIGHT\" with a weight from 0 to %g, found %.60q", MaxWeight, text)
+			continue
+		}
+		if _, ok := cfg.services[service]; !ok {
+			m.refuse(e, "unknown service %q; add [service.%s]", service, service)
+		}
+		total += w
+		parts = append(parts, Part{service: service, weight: w})
+	}
+	if total <= 0 {
+		m.refuse(e, "the weights add up to nothing")
+	}
+	return parts
+}
+
+// number returns a number from low to high, and low where the file has none.
+func (m *merger) number(g group, key string, low, high float64) float64 {
+	e, ok := g[key]
+	if !ok {
+		return low
+	}
+	if !(e.value.number >= low && e.value.number <= high) {
+		m.refuse(e, "must be from %g to %g", low, high)
+		return low
+	}
+	return e.value.number
+}
+
 func (m *merger) serviceOf(cfg *Config, section, name string, g group) string {
 	service := g.text("service")
 	if service == "" {
@@ -184,14 +245,15 @@
 	v.service = m.serviceOf(cfg, "move", name, g)
 	v.watch = m.duration(g, "watch", DefaultWatch)
 	if v.from == "" || v.to == "" {
-		m.refuse(g.at("move", name, "to"), "a move needs from and to")
+		m.refuse(g.at("move", name, "to"), "a move needs from and to; from = %q is every other version", Others)
 	} else if v.from == v.to {
 		m.refuse(g["to"], "from and to are the same version")
 	}
+	v.within = m.duration(g, "within", 0)
 	if e, ok := g["by"]; ok {
 		v.by = e.value.at
-	} else {
-		m.refuse(g.at("move", name, "by"), "a move needs by, as in 2026-12-24T18:00:00Z")
+	} else if v.within == 0 {
+		m.refuse(g.at("move", name, "by"), "a move needs by, as in 2026-12-24T18:00:00Z, or within, as in \"20m\"")
 	}
 	if e, ok := g["start"]; ok {
 		v.start = e.value.number
--- a/core/version/gtevidence/judge.go
+++ b/core/version/gtevidence/judge.go
@@ -5,6 +5,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"godwittide/core/version/gtconfig"
 )
 
 const (
@@ -70,7 +72,8 @@
 type Judge struct {
 	// Now reads the timer service's clock.
 	Now func() time.Time
-	// From and To are the old and the new version.
+	// From and To are the old and the new version; the old one may be
+	// gtconfig.Others.
 	From, To string
 	// Threshold is the log-likelihood ratio that raises the alarm.
 	Threshold float64
@@ -86,7 +89,7 @@
 
 // Take takes in a report. Reports of other versions are ignored.
 func (j *Judge) Take(r Report) {
-	if r.version != j.From && r.version != j.To {
+	if !j.judges(r.version) {
 		return
 	}
 	j.mu.Lock()
@@ -106,9 +109,14 @@
 	}
 }
 
+// judges says whether a version is one of the two.
+func (j *Judge) judges(version string) bool {
+	return version == j.From || version == j.To || j.From == gtconfig.Others
+}
+
 // Add takes in one outcome that this node saw itself.
 func (j *Judge) Add(route, version string, o Outcome) {
-	if version != j.From && version != j.To {
+	if !j.judges(version) {
 		return
 	}
 	c := Counts{total: 1}
@@ -161,7 +169,7 @@
 		t = &track{}
 		j.routes[route] = t
 	}
-	if version == j.From {
+	if version != j.To {
 		t.addOld(c)
 		return
 	}
--- a/core/version/gtmove/move.go
+++ b/core/version/gtmove/move.go
@@ -239,7 +239,7 @@
 // stepTime returns how long a step takes so that the steps left end in time.
 // The time left is halved, so that a step may wait twice as long for evidence.
 func stepTime(s State, m gtconfig.Move) time.Duration {
-	left := float64(m.By().Sub(s.stepped)) * (1 - Margin)
+	left := float64(m.By(s.started).Sub(s.stepped)) * (1 - Margin)
 	d := time.Duration(left / 2 / float64(stepsLeft(s.share)))
 	return min(max(d, MinStep), MaxStep)
 }
--- a/core/version/gtmove/move_test.go
+++ b/core/version/gtmove/move_test.go
@@ -116,7 +116,7 @@
 	var first time.Time
 	total, hurt := 0, 0
 	const tick = 250 * time.Millisecond
-	limit := m.By().Add(30 * time.Second)
+	limit := m.By(start).Add(30 * time.Second)
 	for now = start; now.Before(limit) && (state.Phase() < Done || now.Sub(start) < shareOver); now = now.Add(tick) {
 		for range poisson(r, rate*tick.Seconds()) {
 			total++
--- a/io/connection/gtpool/conn.go
+++ b/io/connection/gtpool/conn.go
@@ -112,10 +112,17 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
-			c.readUntil(c.limit)
-			return resp, nil
+		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
+			continue
 		}
+		if c.pool.Foreign != nil && c.pool.Foreign(req, resp) {
+			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+				return nil, err
+			}
+			continue
+		}
+		c.readUntil(c.limit)
+		return resp, nil
 	}
 }
 
--- a/io/connection/gtpool/pool.go
+++ b/io/connection/gtpool/pool.go
@@ -40,6 +40,13 @@
 	// it works, as nodes do. Without it an idle connection that is not fresh
 	// is replaced.
 	Ping bool
+	// Quiet says that the other end sends nothing between answers, so that an
+	// idle connection with bytes to read, or that was closed, is replaced, and
+	// any other may be used for as long as Quiet.
+	Quiet time.Duration
+	// Foreign says whether an answer belongs to another request than req, so
+	// that the one after it is waited for; nil means never.
+	Foreign func(req *http.Request, resp *http.Response) bool
 	// Max is the most connections to one address, in use and idle.
 	Max int
 
@@ -106,6 +113,13 @@
 		if c == nil {
 			return p.dial(ctx, addr, class)
 		}
+		if p.Quiet > 0 {
+			if c.live.Idle() <= p.Quiet && c.quiet() {
+				return c, nil
+			}
+			c.close()
+			continue
+		}
 		switch c.live.Check(idempotent) {
 		case gtlive.Use:
 			return c, nil
--- a/io/process/gtnode/admin.go
+++ b/io/process/gtnode/admin.go
@@ -11,6 +11,7 @@
 
 	"godwittide/core/process/gtduty"
 	"godwittide/core/process/gtmember"
+	"godwittide/core/request/gtcall"
 	"godwittide/core/request/gtkind"
 	"godwittide/io/connection/gtwire"
 )
@@ -113,25 +114,42 @@
 	list := []MoveStatus{}
 	now := n.timer.Time()
 	for _, m := range n.holder.Current().Config().Moves() {
-		v := MoveStatus{Name: m.Name(), Service: m.Service(), From: m.From(), To: m.To(), By: m.By(), Phase: "waiting", Reason: "no backend server of the new version is ready"}
+		v := MoveStatus{Name: m.Name(), Service: m.Service(), From: m.From(), To: m.To(), Phase: "waiting", Reason: "no backend server of the new version is ready"}
 		if s, ok := n.board.State(m.ID()); ok {
 			v.Phase, v.Share, v.Reason, v.Started, v.Ended = s.Phase().String(), n.board.Share(m), s.Reason(), s.Started(), s.Ended()
 		}
+		v.By = m.By(v.Started)
 		if h, ok := n.board.Halted(m.ID()); ok && v.Phase != "taken back" {
 			v.Phase, v.Reason = "halted", "found by "+h.By()+": "+h.Reason()
 		}
-		v.Late = v.Ended.IsZero() && now.After(m.By()) || v.Phase != "taken back" && v.Ended.After(m.By())
+		v.Late = v.Ended.IsZero() && now.After(v.By) || v.Phase != "taken back" && v.Ended.After(v.By)
 		list = append(list, v)
 	}
 	return list
 }
 
-// answered counts an answer to a caller.
-func (n *Node) answered(k gtkind.Kind, d time.Duration) {
+// answered counts an answer to a caller, and logs it unless it is a backend
+// server's.
+func (n *Node) answered(c gtcall.Call, err error, d time.Duration) {
+	k := gtkind.Of(err)
+	if err != nil {
+		n.requests.Info().Str("request", c.ID()).Str("service", c.Service()).Str("route", c.Route()).
+			Stringer("kind", k).Str("why", gtkind.Detail(err)).Int64("ms", d.Milliseconds()).
+			Int64("version", n.holder.Current().Set().Version()).Msg("request: refused or failed")
+	}
 	n.scope.Tagged(map[string]string{"kind": k.String()}).Counter("answers").Inc(1)
 	n.scope.Timer("answer").Record(d)
 }
 
+// requestLines is how many lines about requests a node logs in a second.
+const requestLines = 50
+
+// requestLog returns the log of lines about single requests. What is beyond the
+// rate is left out.
+func requestLog(l zerolog.Logger) zerolog.Logger {
+	return l.Sample(&zerolog.BurstSampler{Burst: requestLines, Period: time.Second})
+}
+
 // gauges brings the gauges up to date.
 func (n *Node) gauges() {
 	s := n.Status()
--- a/io/process/gtnode/backend.go
+++ b/io/process/gtnode/backend.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"godwittide/core/process/gtbeat"
 	"godwittide/core/process/gtmember"
 	"godwittide/core/request/gtkind"
 	"godwittide/io/connection/gtpool"
@@ -28,6 +29,7 @@
 	mu     sync.Mutex
 	state  gtmember.State
 	ready  time.Time
+	cold   time.Time
 	misses int
 }
 
@@ -61,6 +63,19 @@
 	b.misses = 0
 }
 
+// setCold notes until when the backend server is cold.
+func (b *backend) setCold(until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cold = until
+}
+
+func (b *backend) coldUntil() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.cold
+}
+
 func (b *backend) setReady(at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -75,22 +90,89 @@
 	return d.DialContext(ctx, "tcp", addr)
 }
 
-// watchBackend follows whether the backend server takes connections. Its
-// health endpoint is not asked: what it says may lag or mislead.
+// lookForBackend looks for the backend server once, at the start. One that
+// sends heartbeats is waited for.
+func (n *Node) lookForBackend(ctx context.Context) {
+	if n.Beats == nil {
+		n.probe(ctx)
+		return
+	}
+	n.gate.Close(gtkind.Down)
+}
+
+// watchBackend follows whether the backend server takes connections, or sends
+// heartbeats. Its health endpoint is not asked: what it says may lag or mislead.
 func (n *Node) watchBackend(ctx context.Context) {
+	look := func() { n.probe(ctx) }
+	if n.Beats != nil {
+		look = n.listenForBackend
+	}
 	tick := n.timer.Every(probeEvery, 0.1)
 	defer tick.Stop()
-	n.probe(ctx)
 	for {
+		look()
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C():
-			n.probe(ctx)
 		}
 	}
 }
 
+// listenForBackend notices that heartbeats have stopped.
+func (n *Node) listenForBackend() {
+	if n.Beats.Silent() && n.backend.current() == gtmember.Ready {
+		n.Log.Warn().Dur("silence", n.Beats.Silence).Msg("backend: no heartbeat")
+		n.setState(gtmember.Down)
+	}
+}
+
+// Beat takes in a heartbeat of the backend server. It returns once the node
+// acts on it.
+func (n *Node) Beat(b gtbeat.Beat) {
+	last, news := n.Beats.Take(b)
+	if !news {
+		n.Log.Debug().Str("backend", b.ID()).Msg("backend: late heartbeat")
+		return
+	}
+	n.obey(last)
+}
+
+// Leave takes in that the backend server with the given id takes no new
+// requests.
+func (n *Node) Leave(id string) {
+	if last, known := n.Beats.Leave(id); known {
+		n.obey(last)
+	}
+}
+
+// obey acts on what the backend server says of itself.
+func (n *Node) obey(b gtbeat.Beat) {
+	n.backend.reached()
+	n.gate.Resize(b.Slots())
+	n.backend.setCold(n.timer.Time().Add(b.Cold()))
+	n.chill()
+	own := n.table.Self()
+	changed := own.Version() != b.Version() || own.Slots() != b.Slots()
+	if changed {
+		n.table.TurnBackend(b.Version(), b.Slots(), own.State())
+	}
+	if b.Leaving() {
+		n.setState(gtmember.Leaving)
+		return
+	}
+	n.setState(gtmember.Ready)
+	if changed {
+		n.overlay.Announce(n.table.Self())
+	}
+}
+
+// chill bounds the rate of requests for as long as the backend server is cold.
+func (n *Node) chill() {
+	service, _ := n.holder.Current().Config().Service(n.Settings.Backend.Service)
+	n.gate.Chill(service.ColdRate(), n.backend.coldUntil().Sub(n.timer.Time()))
+}
+
 // probe connects to the backend server and sets the node's state. It says
 // whether the backend server is there.
 func (n *Node) probe(ctx context.Context) bool {
@@ -100,7 +182,9 @@
 	if err == nil {
 		_ = conn.Close()
 		n.backend.reached()
-		n.setState(gtmember.Ready)
+		if n.Beats == nil {
+			n.setState(gtmember.Ready)
+		}
 		return true
 	}
 	if !n.backend.missed(err) {
@@ -133,7 +217,7 @@
 	n.selfMu.Lock()
 	defer n.selfMu.Unlock()
 	announced := n.table.Self().State()
-	if announced >= gtmember.Leaving && s < announced {
+	if n.leaving.Load() && s < announced {
 		return
 	}
 	if n.backend.turn(s) {
@@ -158,6 +242,9 @@
 		return gtkind.Leaving
 	case s != gtmember.Ready:
 		return gtkind.Down
+	case n.Beats != nil && n.holder.Current().Set().Version() == 0:
+		// How much a cold backend server bears stands in the configuration.
+		return gtkind.NoConfig
 	case n.holder.Current().Config().ZoneOut(n.Settings.Node.Zone):
 		return gtkind.Leaving
 	default:
@@ -165,11 +252,12 @@
 	}
 }
 
-// zoneMoved follows the node's own availability zone as operators take it out
-// and bring it back. Backend servers may have turned cold meanwhile.
-func (n *Node) zoneMoved(wasOut, isOut bool) {
+// configured follows the configuration: how much a cold backend server bears, and
+// the node's own availability zone as operators take it out and bring it back. Backend servers may have turned cold meanwhile.
+func (n *Node) configured(wasOut, isOut bool) {
 	n.selfMu.Lock()
 	defer n.selfMu.Unlock()
+	n.chill()
 	if wasOut && !isOut {
 		n.gate.Cool()
 	}
--- a/io/process/gtnode/drive.go
+++ b/io/process/gtnode/drive.go
@@ -204,7 +204,7 @@
 
 // drive looks at a move and writes its next state down.
 func (n *Node) drive(ctx context.Context, m gtconfig.Move, rank int) {
-	if n.vault == nil || n.leaving.Load() {
+	if n.SaveMove == nil && n.vault == nil || n.leaving.Load() {
 		return
 	}
 	d := n.judges.drive(m)
@@ -225,7 +225,11 @@
 	if next.Share() >= state.Share() && now.Sub(d.due) < time.Duration(rank)*standbyDelay {
 		return
 	}
-	written, err := n.vault.PutMove(ctx, next)
+	save := n.SaveMove
+	if save == nil {
+		save = n.vault.PutMove
+	}
+	written, err := save(ctx, next)
 	if err != nil {
 		n.Log.Info().Err(err).Str("move", m.Name()).Msg("move: state was not written")
 		if next.Phase() == gtmove.TakenBack {
@@ -262,10 +266,10 @@
 		if r.State() != gtmember.Ready {
 			continue
 		}
-		switch r.Version() {
-		case m.To():
+		switch {
+		case r.Version() == m.To():
 			ready++
-		case m.From():
+		case m.IsFrom(r.Version()):
 			old++
 		}
 	}
--- a/io/process/gtnode/memory.go
+++ b/io/process/gtnode/memory.go
@@ -10,10 +10,18 @@
 	// memoryLimit is the size in bytes near which collections become as
 	// frequent as they must.
 	memoryLimit = 200 << 20
+	// memoryPart is the part of the memory that is given, in percent, which the
+	// heap may take: stacks, buffers of the kernel and the program need the rest.
+	memoryPart = 45
 )
 
-// TuneMemory sets the collector of this process to what a node needs.
-func TuneMemory() {
+// TuneMemory sets the collector of this process to what a node needs, on a
+// machine that gives it so many bytes; 0 means enough.
+func TuneMemory(given int64) {
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(memoryLimit)
+	limit := int64(memoryLimit)
+	if given > 0 {
+		limit = min(limit, given*memoryPart/100)
+	}
+	debug.SetMemoryLimit(limit)
 }
--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -15,6 +15,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -23,12 +24,15 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"godwittide/core/process/gtbeat"
 	"godwittide/core/process/gtmember"
 	"godwittide/core/process/gttimer"
 	"godwittide/core/request/gtadmit"
 	"godwittide/core/request/gtonce"
 	"godwittide/core/request/gtretry"
 	"godwittide/core/request/gtroute"
+	"godwittide/core/request/gtsplit"
+	"godwittide/core/version/gtconfig"
 	"godwittide/core/version/gtdelta"
 	"godwittide/core/version/gtevidence"
 	"godwittide/core/version/gtmove"
@@ -60,6 +64,26 @@
 	Listen func(addr string) (net.Listener, error)
 	// Store is the platform's store; nil means the endpoint of the settings.
 	Store *gtstore.Store
+	// Parse merges the files of a version; nil means those of a folder.
+	Parse func(files map[string]string) (*gtconfig.Config, []gtconfig.Problem)
+	// Follow hands the operators' configuration to Install until ctx ends; nil
+	// means that this node takes its turn at watching their folder in the store.
+	Follow func(ctx context.Context)
+	// SaveMove writes the next state of a move by compare-and-swap and returns
+	// what then stands there; nil means the own keys in the store alone.
+	SaveMove func(ctx context.Context, s gtmove.State) (gtmove.State, error)
+	// Dialect is how callers and backend servers are spoken to.
+	Dialect gthop.Dialect
+	// Front stands before the callers' handler; nil means nothing.
+	Front func(next http.Handler) http.Handler
+	// Foreign says whether an answer of the backend server belongs to another
+	// request; nil means never.
+	Foreign func(req *http.Request, resp *http.Response) bool
+	// Timer is the timer service, which the node runs; nil means a new one.
+	Timer *gttimer.Service
+	// Beats follows the backend server by its heartbeats; nil means that the
+	// node looks for it by connecting.
+	Beats *gtbeat.Follower
 
 	timer   *gttimer.Service
 	started time.Time
@@ -68,6 +92,8 @@
 	metrics *gtmetric.Metrics
 	scope   tally.Scope
 
+	requests zerolog.Logger
+
 	table   *gtmember.Table
 	holder  *gtdelta.Holder
 	board   *gtmove.Board
@@ -102,10 +128,6 @@
 	wg      sync.WaitGroup
 }
 
-// drainQuiet is how long a stopping node goes on refusing, so that every peer
-// has heard and no request is sent into a closing connection.
-const drainQuiet = 1500 * time.Millisecond
-
 // sweepEvery is the period in which tables forget what is past.
 const sweepEvery = 5 * time.Second
 
@@ -127,7 +149,7 @@
 	}
 	defer n.metrics.Close()
 	n.overlay.Open(life)
-	n.probe(life)
+	n.lookForBackend(life)
 	n.start(life, listeners)
 	n.running.Store(true)
 	listen := n.Settings.Listen
@@ -175,13 +197,17 @@
 // build makes the parts.
 func (n *Node) build(ctx context.Context) error {
 	cfg := n.Settings
-	n.timer = &gttimer.Service{}
+	n.timer = n.Timer
+	if n.timer == nil {
+		n.timer = &gttimer.Service{}
+	}
 	n.started = n.timer.Time()
 	tracer, err := gttrace.New(ctx, cfg.Trace.Endpoint, cfg.Trace.Ratio, cfg.Node.Instance)
 	if err != nil {
 		return err
 	}
 	n.tracer = tracer
+	n.requests = requestLog(n.Log)
 	n.buildFacts()
 	n.buildStore()
 	n.buildRequests()
@@ -220,15 +246,19 @@
 	n.scope = n.metrics.Scope()
 	n.gate = &gtadmit.Gate{Now: now, Slots: cfg.Backend.Slots, Fixed: cfg.Backend.Fixed}
 	n.once = &gtonce.Keys{Now: now}
+	split := &gtsplit.Split{Rand: rand.Float64}
 	n.retry = &gtretry.Policy{Now: now}
 	n.ledger = &gtevidence.Ledger{}
 	n.router = &gtroute.Router{Now: now, Rand: rand.Float64, Zone: cfg.Node.Zone, Service: n.table.Service, Share: n.board.Share}
 	n.hops = &gtpool.Pool{Dial: n.dialNode, Now: now, Ping: true, Max: cfg.Backend.Connections}
-	n.own = &gtpool.Pool{Dial: n.dialBackend, Now: now, Max: cfg.Backend.Connections}
+	n.own = &gtpool.Pool{
+		Dial: n.dialBackend, Now: now, Max: cfg.Backend.Connections, Quiet: time.Duration(cfg.Backend.Idle), Foreign: n.Foreign,
+	}
 	n.beside = &gthop.Beside{
 		Now: now, Self: n.table.Self, Address: cfg.Backend.Address, Buffer: cfg.Limit.Buffer, Pool: n.own,
 		Gate: n.gate, Keys: n.once, Crashes: n.crashes, Ledger: n.ledger,
 		Sure: n.sure, Crashed: n.crashed, Down: n.checkDown, ReadyAt: n.backend.readyTime, Trace: n.tracer.Start,
+		Dialect: n.Dialect,
 	}
 	n.hop = &gthop.Handler{Beside: n.beside, Timer: n.timer, Body: cfg.Limit.Body, Panicked: n.panicked}
 	client := &gthop.Client{Now: now, Pool: n.hops, Buffer: cfg.Limit.Buffer, Trace: n.tracer.Start}
@@ -237,6 +267,7 @@
 		Body: cfg.Limit.Body, Hops: cfg.Limit.Hops, Holder: n.holder, Router: n.router, Members: n.table.Service,
 		Retry: n.retry, Crashes: n.crashes, Crashed: n.heardCrash, Sure: n.sure, Beside: n.beside, Client: client,
 		Observed: n.observed, Answered: n.answered, Trace: n.tracer.Start, Panicked: n.panicked,
+		Dialect: n.Dialect, Split: split,
 	}
 }
 
@@ -260,7 +291,7 @@
 	n.wg.Go(func() { n.watchBackend(ctx) })
 	n.wg.Go(func() { n.driveMoves(ctx) })
 	n.wg.Go(func() { n.sweep(ctx) })
-	if n.vault != nil {
+	if n.vault != nil || n.Follow != nil {
 		n.wg.Go(func() { n.watchStore(ctx) })
 	}
 	n.serve(ctx, l)
@@ -273,7 +304,7 @@
 	n.setState(gtmember.Leaving)
 	limit := n.timer.After(time.Duration(n.Settings.Limit.Drain))
 	defer limit.Stop()
-	quiet := n.timer.Time().Add(drainQuiet)
+	quiet := n.timer.Time().Add(time.Duration(n.Settings.Limit.Quiet))
 	tick := n.timer.Every(50*time.Millisecond, 0)
 	defer tick.Stop()
 	for n.edge.InFlight()+n.hop.InFlight() > 0 || n.timer.Time().Before(quiet) {
--- a/io/process/gtnode/serve.go
+++ b/io/process/gtnode/serve.go
@@ -130,7 +130,11 @@
 
 // serve starts the servers.
 func (n *Node) serve(ctx context.Context, l listeners) {
-	n.server.edge = n.newServer(n.closing(n.edge))
+	front := http.Handler(n.edge)
+	if n.Front != nil {
+		front = n.Front(front)
+	}
+	n.server.edge = n.newServer(n.closing(front))
 	n.server.hop = n.newServer(n.hop)
 	n.server.admin = n.newServer(n.adminMux())
 	n.server.peer = l.peer
--- a/io/process/gtnode/watch.go
+++ b/io/process/gtnode/watch.go
@@ -12,7 +12,9 @@
 	"godwittide/core/process/gtduty"
 	"godwittide/core/process/gtmember"
 	"godwittide/core/process/gttimer"
+	"godwittide/core/version/gtconfig"
 	"godwittide/core/version/gtdelta"
+	"godwittide/core/version/gtmove"
 	"godwittide/io/process/gtstore"
 	"godwittide/io/version/gtfolder"
 	"godwittide/io/version/gtsnapshot"
@@ -41,7 +43,7 @@
 func (n *Node) watchStore(ctx context.Context) {
 	// A node that has just started knows few others, and would take itself for
 	// the first in rank.
-	if n.timer.Wait(ctx, settleTime) != nil {
+	if n.Follow == nil && n.timer.Wait(ctx, settleTime) != nil {
 		return
 	}
 	tick := n.timer.Every(dutyEvery, 0.2)
@@ -76,7 +78,10 @@
 func (n *Node) beginTurn(ctx context.Context) *turn {
 	ctx, cancel := context.WithCancel(ctx)
 	t := &turn{cancel: cancel, done: make(chan struct{})}
-	n.wg.Go(func() { n.watchTurn(ctx, t.done) })
+	n.wg.Go(func() {
+		defer close(t.done)
+		n.watchTurn(ctx)
+	})
 	return t
 }
 
@@ -100,11 +105,19 @@
 }
 
 // watchTurn watches the store until ctx ends.
-func (n *Node) watchTurn(ctx context.Context, done chan struct{}) {
-	defer close(done)
+func (n *Node) watchTurn(ctx context.Context) {
 	n.Log.Info().Msg("watch: this node watches the store")
-	changed := make(chan struct{}, 1)
 	n.wg.Go(func() { n.keepContact(ctx) })
+	if n.Follow != nil {
+		n.Follow(ctx)
+		return
+	}
+	n.watchFolder(ctx)
+}
+
+// watchFolder watches the operators' folder in the store until ctx ends.
+func (n *Node) watchFolder(ctx context.Context) {
+	changed := make(chan struct{}, 1)
 	poll := n.timer.Every(pollEvery, 0.2)
 	defer poll.Stop()
 	failures := 0
@@ -193,11 +206,7 @@
 
 // act does what the state calls for, once.
 func (n *Node) act(ctx context.Context, state gtsnapshot.State) error {
-	for _, m := range state.Moves() {
-		if n.board.Merge(m) {
-			n.overlay.AnnounceMove(m)
-		}
-	}
+	n.takeMoves(state.Moves())
 	own := n.holder.Current().Set()
 	action := gtaccept.Decide(state.View(), own)
 	if action == gtaccept.Nothing {
@@ -231,6 +240,34 @@
 	return err
 }
 
+func (n *Node) takeMoves(moves []gtmove.State) {
+	for _, m := range moves {
+		if n.board.Merge(m) {
+			n.overlay.AnnounceMove(m)
+		}
+	}
+}
+
+// Move returns the move with the given identity.
+func (n *Node) Move(id string) (gtconfig.Move, bool) {
+	for _, m := range n.Config().Moves() {
+		if m.ID() == id {
+			return m, true
+		}
+	}
+	return gtconfig.Move{}, false
+}
+
+// LoadMoves takes in the states of moves that stand in the store.
+func (n *Node) LoadMoves(ctx context.Context) error {
+	state, err := n.vault.Read(ctx)
+	if err != nil {
+		return err
+	}
+	n.takeMoves(state.Moves())
+	return nil
+}
+
 // write accepts, refuses or restores.
 func (n *Node) write(ctx context.Context, action gtaccept.Action, state gtsnapshot.State, own gtdelta.Set) error {
 	self := n.Settings.Node.Instance
@@ -247,7 +284,7 @@
 		n.Log.Error().Int64("version", own.Version()).Msg("watch: store holds other files under this version, accepting them anew")
 		push = max(push, state.View().Record().Push())
 	}
-	if _, problems := n.parser.Merge(files); len(problems) > 0 {
+	if _, problems := n.merge(files); len(problems) > 0 {
 		texts := gtfolder.Texts(problems)
 		n.Log.Warn().Int64("push", push).Str("first", texts[0]).Msg("watch: push refused")
 		return n.vault.Refuse(ctx, state, self, texts)
@@ -260,6 +297,23 @@
 	return n.installSet(next)
 }
 
+// merge merges the files of a version.
+func (n *Node) merge(files map[string]string) (*gtconfig.Config, []gtconfig.Problem) {
+	if n.Parse != nil {
+		return n.Parse(files)
+	}
+	return n.parser.Merge(files)
+}
+
+// Current returns the version in force.
+func (n *Node) Current() gtdelta.Set { return n.holder.Current().Set() }
+
+// Config returns the configuration in force.
+func (n *Node) Config() *gtconfig.Config { return n.holder.Current().Config() }
+
+// Install puts a version in force, if it is higher than the one in force.
+func (n *Node) Install(set gtdelta.Set) error { return n.installSet(set) }
+
 // installSet merges a version and puts it in force, if it is higher than the
 // one in force.
 func (n *Node) installSet(set gtdelta.Set) error {
@@ -269,7 +323,7 @@
 	if set.Version() <= old.Set().Version() {
 		return nil
 	}
-	cfg, problems := n.parser.Merge(set.Files())
+	cfg, problems := n.merge(set.Files())
 	if len(problems) > 0 {
 		return errorx.IllegalFormat.New("version %d can't be applied: %s", set.Version(), problems[0])
 	}
@@ -277,9 +331,7 @@
 		return nil
 	}
 	zone := n.Settings.Node.Zone
-	if was, is := old.Config().ZoneOut(zone), cfg.ZoneOut(zone); was != is {
-		n.zoneMoved(was, is)
-	}
+	n.configured(old.Config().ZoneOut(zone), cfg.ZoneOut(zone))
 	n.scope.Gauge("version").Update(float64(set.Version()))
 	n.Log.Info().Int64("version", set.Version()).Str("sum", cfg.Sum()).Msg("config: version in force")
 	n.overlay.AnnounceVersion()
--- a/io/process/gtsettings/settings.go
+++ b/io/process/gtsettings/settings.go
@@ -66,6 +66,9 @@
 	Slots       int    `toml:"slots"`
 	Connections int    `toml:"connections"`
 	Fixed       bool   `toml:"fixed"`
+	// Idle is how long an idle connection to the backend server is used without
+	// further proof that it is alive.
+	Idle Duration `toml:"idle"`
 }
 
 // Store says where the platform's store is.
@@ -90,6 +93,7 @@
 	Callers int      `toml:"callers"`
 	Slow    Duration `toml:"slow"`
 	Drain   Duration `toml:"drain"`
+	Quiet   Duration `toml:"quiet"`
 }
 
 // Log says how much is logged and how.
@@ -126,7 +130,7 @@
 		Store:   Store{Prefix: "godwittide/"},
 		Limit: Limit{
 			Body: 1 << 20, Head: 32 << 10, Buffer: 64 << 10, Hops: 16, Callers: 4096,
-			Slow: Duration(10 * time.Second), Drain: Duration(20 * time.Second),
+			Slow: Duration(10 * time.Second), Drain: Duration(20 * time.Second), Quiet: Duration(1500 * time.Millisecond),
 		},
 		Log:   Log{Level: "info", Format: "json"},
 		Trace: Trace{Ratio: 0.01},
@@ -150,7 +154,7 @@
 	if err := d.Decode(&cfg); err != nil {
 		return Settings{}, place(name, err)
 	}
-	if err := cfg.check(); err != nil {
+	if err := cfg.Check(); err != nil {
 		return Settings{}, errorx.IllegalArgument.New("%s: %s", name, err.Error())
 	}
 	return cfg, nil
@@ -175,7 +179,8 @@
 // like.
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
 
-func (s Settings) check() error {
+// Check says what is wrong with the settings.
+func (s Settings) Check() error {
 	names := []struct{ key, value string }{
 		{"node.instance", s.Node.Instance},
 		{"node.cluster", s.Node.Cluster},
@@ -245,8 +250,11 @@
 			return fmt.Errorf("%s: must be from %d to %d, found %d", v.key, v.low, v.top, v.value)
 		}
 	}
-	if s.Limit.Slow <= 0 || s.Limit.Drain <= 0 {
-		return errors.New("limit.slow, limit.drain: must be above 0")
+	if s.Limit.Slow <= 0 || s.Limit.Drain <= 0 || s.Limit.Quiet <= 0 {
+		return errors.New("limit.slow, limit.drain, limit.quiet: must be above 0")
+	}
+	if s.Backend.Idle < 0 {
+		return errors.New("backend.idle: must not be below 0")
 	}
 	if s.Trace.Ratio < 0 || s.Trace.Ratio > 1 {
 		return errors.New("trace.ratio: must be from 0 to 1")
--- a/io/process/gtsettings/settings_test.go
+++ b/io/process/gtsettings/settings_test.go
@@ -62,7 +62,7 @@
 	f.Add("\xff")
 	f.Fuzz(func(t *testing.T, text string) {
 		cfg, err := Parse("x", text)
-		if err == nil && cfg.check() != nil {
+		if err == nil && cfg.Check() != nil {
 			t.Fatal("settings that fail their check were returned")
 		}
 	})
--- a/io/request/gtedge/edge.go
+++ b/io/request/gtedge/edge.go
@@ -25,6 +25,7 @@
 	"godwittide/core/request/gtonce"
 	"godwittide/core/request/gtretry"
 	"godwittide/core/request/gtroute"
+	"godwittide/core/request/gtsplit"
 	"godwittide/core/version/gtconfig"
 	"godwittide/core/version/gtdelta"
 	"godwittide/core/version/gtevidence"
@@ -73,8 +74,13 @@
 	Client *gthop.Client
 	// Observed is told the outcome of each attempt of a version on a route.
 	Observed func(service, route, version string, o gtevidence.Outcome)
-	// Answered is told each answer's kind and the time that it took.
-	Answered func(k gtkind.Kind, d time.Duration)
+	// Answered is told of each answer: the call, as far as it was made, the error
+	// that it got, and the time that it took.
+	Answered func(c gtcall.Call, err error, d time.Duration)
+	// Dialect is how callers are spoken to.
+	Dialect gthop.Dialect
+	// Split draws the parts of split routes.
+	Split *gtsplit.Split
 	// Trace starts a span and returns the function that ends it.
 	Trace func(ctx context.Context, name string, h http.Header) (context.Context, func(error))
 	// Panicked is told of each panic, which ends its request alone.
@@ -94,26 +100,32 @@
 	defer gthop.Recover(w, e.Panicked)
 	start := e.Now()
 	ctx, end := e.Trace(r.Context(), "edge", r.Header)
-	a, err := e.serve(ctx, r)
+	c, a, err := e.serve(ctx, r)
 	end(err)
-	e.Answered(gtkind.Of(err), e.Now().Sub(start))
+	e.Answered(c, err, e.Now().Sub(start))
 	if err != nil {
-		gthop.WriteError(w, err)
+		e.Dialect.Fail(w, err)
 		return
 	}
 	gthop.WriteAnswer(w, a)
 }
 
-func (e *Edge) serve(ctx context.Context, r *http.Request) (gtcall.Answer, error) {
+func (e *Edge) serve(ctx context.Context, r *http.Request) (gtcall.Call, gtcall.Answer, error) {
 	current := e.Holder.Current()
 	if current.Set().Version() == 0 {
-		return gtcall.Answer{}, gtkind.New(gtkind.NoConfig, "this node has no configuration yet")
+		return gtcall.Call{}, gtcall.Answer{}, gtkind.New(gtkind.NoConfig, "this node has no configuration yet")
 	}
 	cfg := current.Config()
 	c, err := e.call(cfg, r)
 	if err != nil {
-		return gtcall.Answer{}, err
+		return c, gtcall.Answer{}, err
 	}
+	a, err := e.send(ctx, cfg, c)
+	return c, a, err
+}
+
+// send sends a call to whoever may run it.
+func (e *Edge) send(ctx context.Context, cfg *gtconfig.Config, c gtcall.Call) (gtcall.Answer, error) {
 	if e.Crashes.Blocked(c.Fingerprint()) {
 		return gtcall.Answer{}, gthop.Blocked(c)
 	}
@@ -133,6 +145,7 @@
 
 // call builds the call of a request.
 func (e *Edge) call(cfg *gtconfig.Config, r *http.Request) (gtcall.Call, error) {
+	start := e.Now()
 	hops, _ := strconv.Atoi(r.Header.Get(gthop.HeaderHops))
 	if hops < 0 || hops >= e.Hops {
 		return gtcall.Call{}, gtkind.New(gtkind.TooManyHops, "the call has gone through %d hops", hops)
@@ -151,28 +164,30 @@
 	}
 	header := gthop.Clean(r.Header)
 	header.Set("Host", r.Host)
-	id := e.ID + strconv.FormatUint(e.seq.Add(1), 36)
+	id := e.Dialect.ID(r, e.newID)
+	service := route.Service(e.Split.Draw(route.Name()))
 	return gtcall.New(id, r.Method, r.URL.RequestURI()).
 		WithHeader(header).
 		WithBody(body).
-		WithRoute(route.Service(), route.Name(), route.Class()).
+		WithRoute(service, route.Name(), route.Class()).
 		WithIdempotent(route.Idempotent(r.Method)).
 		WithKey(key, r.Header.Get(gthop.HeaderResend) == "1", false).
 		WithNested(r.Header.Get(gthop.HeaderRetry) == "1").
 		WithHops(hops).
-		WithDeadline(e.deadline(cfg, route, r)), nil
+		WithMost(route.Attempts()).
+		WithDeadline(start.Add(e.Dialect.Limit(r, e.limit(cfg, route, service)))), nil
 }
 
-func (e *Edge) deadline(cfg *gtconfig.Config, route gtconfig.Route, r *http.Request) time.Time {
-	limit := route.Timeout()
-	if limit == 0 {
-		service, _ := cfg.Service(route.Service())
-		limit = service.Timeout()
-	}
-	if ms, err := strconv.ParseInt(r.Header.Get(gthop.HeaderLeft), 10, 64); err == nil {
-		limit = min(limit, time.Duration(max(ms, 0))*time.Millisecond)
+// newID returns an id for a request that has none.
+func (e *Edge) newID() string { return e.ID + strconv.FormatUint(e.seq.Add(1), 36) }
+
+// limit returns the operators' time limit of a call.
+func (e *Edge) limit(cfg *gtconfig.Config, route gtconfig.Route, service string) time.Duration {
+	if route.Timeout() > 0 {
+		return route.Timeout()
 	}
-	return e.Now().Add(limit)
+	s, _ := cfg.Service(service)
+	return s.Timeout()
 }
 
 // balance sends a call to the backend server that the router picks, and to
@@ -182,6 +197,7 @@
 	e.Retry.Sent(c.Service())
 	var tried []string
 	var last error
+	reached := 0
 	for count := 1; ; count++ {
 		to, err := e.Router.Pick(cfg, q.WithTried(tried))
 		if err != nil {
@@ -199,7 +215,10 @@
 			return a, nil
 		}
 		tried, last = append(tried, to.Instance()), err
-		if !e.again(ctx, c, k, count) {
+		if k.Reached() {
+			reached++
+		}
+		if !e.again(ctx, c, k, count, reached) {
 			return a, err
 		}
 		if a.Stream() != nil {
@@ -209,12 +228,12 @@
 	}
 }
 
-func (e *Edge) again(ctx context.Context, c gtcall.Call, k gtkind.Kind, count int) bool {
+func (e *Edge) again(ctx context.Context, c gtcall.Call, k gtkind.Kind, count, reached int) bool {
 	if ctx.Err() != nil || e.Crashes.Blocked(c.Fingerprint()) {
 		return false
 	}
 	failed := gtretry.NewAttempt(c.Service(), k, count, c.Deadline().Sub(e.Now()))
-	return e.Retry.Again(failed.Idempotent(c.Idempotent()).Nested(c.Nested()))
+	return e.Retry.Again(failed.Idempotent(c.Idempotent()).Nested(c.Nested()).Reached(reached, c.Most()))
 }
 
 // next returns the call of the next attempt.
--- a/io/request/gtedge/edge_test.go
+++ b/io/request/gtedge/edge_test.go
@@ -9,10 +9,12 @@
 	"github.com/onsi/gomega"
 
 	"godwittide/core/process/gtmember"
+	"godwittide/core/request/gtcall"
 	"godwittide/core/request/gtkind"
 	"godwittide/core/request/gtonce"
 	"godwittide/core/request/gtretry"
 	"godwittide/core/request/gtroute"
+	"godwittide/core/request/gtsplit"
 	"godwittide/core/version/gtdelta"
 	"godwittide/io/process/gttrace"
 	"godwittide/io/version/gtfolder"
@@ -33,12 +35,12 @@
 		holder := &gtdelta.Holder{Now: time.Now}
 		nobody := func(string) []gtmember.Record { return nil }
 		e := &Edge{
-			Now: time.Now, Hops: 5, Body: 100, Holder: holder, Members: nobody, Crashes: &gtonce.Crashes{Now: time.Now},
+			Now: time.Now, Hops: 5, Body: 100, Split: &gtsplit.Split{Rand: func() float64 { return 0 }}, Holder: holder, Members: nobody, Crashes: &gtonce.Crashes{Now: time.Now},
 			Retry: &gtretry.Policy{Now: time.Now}, Router: &gtroute.Router{Now: time.Now, Service: nobody},
 			Trace: (&gttrace.Tracer{}).Start,
-			Answered: func(k gtkind.Kind, _ time.Duration) {
+			Answered: func(_ gtcall.Call, err error, _ time.Duration) {
 				mu.Lock()
-				seen[k]++
+				seen[gtkind.Of(err)]++
 				mu.Unlock()
 			},
 		}
--- a/io/request/gthop/beside.go
+++ b/io/request/gthop/beside.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"time"
 
 	"godwittide/core/process/gtmember"
@@ -50,6 +49,8 @@
 	Down func(ctx context.Context) bool
 	// ReadyAt returns when the backend server last became ready.
 	ReadyAt func() time.Time
+	// Dialect is how the backend server is spoken to.
+	Dialect Dialect
 	// Trace starts a span and returns the function that ends it.
 	Trace func(ctx context.Context, name string, h http.Header) (context.Context, func(error))
 }
@@ -176,9 +177,14 @@
 		end(err)
 		cancel()
 	}
-	resp, err := b.Pool.Do(ctx, b.Address, c.Class().String(), req, c.Idempotent())
+	resp, err := b.Pool.Do(ctx, b.Address, c.Class().Lane(), req, c.Idempotent())
 	if err == nil {
 		status = resp.StatusCode
+		if err := b.Dialect.check(c, status, resp.Header); err != nil {
+			gtpool.Discard(resp)
+			finish(err)
+			return gtcall.Answer{}, err
+		}
 		var a gtcall.Answer
 		a, err = readAnswer(resp, b.Buffer, finish)
 		if err == nil {
@@ -221,15 +227,14 @@
 	if err != nil {
 		return nil, err
 	}
-	req.Header.Set(HeaderID, c.ID())
-	req.Header.Set(HeaderLeft, strconv.FormatInt(max(0, c.Deadline().Sub(b.Now()).Milliseconds()), 10))
-	req.Header.Set(HeaderHops, strconv.Itoa(c.Hops()+1))
-	setFlag(req.Header, HeaderRetry, c.Nested())
+	b.Dialect.dress(req.Header, c, max(0, c.Deadline().Sub(b.Now())))
 	return req, nil
 }
 
 func result(status int, err error) gtadmit.Result {
 	switch {
+	case gtkind.Of(err) == gtkind.Turned:
+		return gtadmit.Shed
 	case err != nil:
 		return gtadmit.Failed
 	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
@@ -243,7 +248,7 @@
 // brought about does not count.
 func (b *Beside) count(c gtcall.Call, status int, latency time.Duration, err error) {
 	switch gtkind.Of(err) {
-	case gtkind.Canceled, gtkind.BadRequest, gtkind.Down:
+	case gtkind.Canceled, gtkind.BadRequest, gtkind.Down, gtkind.Turned:
 		return
 	default:
 	}
--- a/io/request/gthop/client.go
+++ b/io/request/gthop/client.go
@@ -42,7 +42,7 @@
 		end(err)
 		cancel()
 	}
-	resp, err := cl.Pool.Do(ctx, to.Hop(), c.Class().String(), req, c.Idempotent())
+	resp, err := cl.Pool.Do(ctx, to.Hop(), c.Class().Lane(), req, c.Idempotent())
 	if err != nil {
 		finish(err)
 		return gtcall.Answer{}, err
--- a/io/request/gthop/head.go
+++ b/io/request/gthop/head.go
@@ -150,10 +150,7 @@
 	}
 	hops, _ := strconv.Atoi(h.Get(HeaderHops))
 	crashes, _ := strconv.Atoi(h.Get(HeaderCrashes))
-	class := gtconfig.Normal
-	if h.Get(HeaderClass) == gtconfig.Fast.String() {
-		class = gtconfig.Fast
-	}
+	class := gtconfig.ParseClass(h.Get(HeaderClass))
 	if h.Get(HeaderFind) == "1" {
 		c = c.WithFind()
 	}
--- a/io/version/gtfolder/folder_test.go
+++ b/io/version/gtfolder/folder_test.go
@@ -99,11 +99,11 @@
 			}
 		}
 		for _, r := range cfg.Routes() {
-			if _, ok := cfg.Service(r.Service()); !ok {
+			if _, ok := cfg.Service(r.Service(0)); !ok {
 				t.Fatalf("route %s precedes its service", r.Name())
 			}
-			if routes[r.Name()].(map[string]any)["service"] != r.Service() {
-				t.Fatalf("route %s goes to %s", r.Name(), r.Service())
+			if routes[r.Name()].(map[string]any)["service"] != r.Service(0) {
+				t.Fatalf("route %s goes to %s", r.Name(), r.Service(0))
 			}
 		}
 		if len(cfg.Routes()) != len(routes) || cfg.Services() != len(services) {
--- a/io/version/gtsnapshot/write.go
+++ b/io/version/gtsnapshot/write.go
@@ -298,8 +298,14 @@
 // PutMove writes the state of a move if its record still has the revision of
 // the state, and returns the state with its new revision.
 func (v *Vault) PutMove(ctx context.Context, m gtmove.State) (gtmove.State, error) {
+	return v.PutMoveWith(ctx, m, func(*gtstore.Txn) {})
+}
+
+// PutMoveWith does as PutMove, with what also adds in the same transaction.
+func (v *Vault) PutMoveWith(ctx context.Context, m gtmove.State, also func(t *gtstore.Txn)) (gtmove.State, error) {
 	key := v.key("w", "move", m.ID())
 	t := gtstore.NewTxn().IfRev(key, m.Rev()).Put(key, encode(gtwire.FromMove(m)))
+	also(t)
 	done, err := v.Store.Txn(ctx, t)
 	if err == nil && done.OK() {
 		return m.WithRev(done.Rev()), nil
