platform: run a node on the users' platform

gtplatform decodes the settings, the store's protocol, heartbeats, orders and header fields once, and fills the node's function fields.

--- /dev/null
+++ b/cmd/godwittide/sidecar.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/joomcode/errorx"
+	"github.com/rs/zerolog"
+
+	"godwittide/io/process/gtcommand"
+	"godwittide/io/process/gtnode"
+	"godwittide/platform/gtplatform"
+)
+
+func init() {
+	commands.Register("sidecar", "Run the node on the platform, beside a backend server.", &sidecarCommand{})
+}
+
+type sidecarCommand struct {
+	Level string `help:"Least level that is logged: debug, info, warn or error." default:"info" placeholder:"LEVEL"`
+}
+
+// Help returns examples.
+func (c *sidecarCommand) Help() string {
+	return gtcommand.Examples("GODWITTIDE_BOOT=boot.toml godwittide sidecar")
+}
+
+// Run runs the node until it is asked to stop.
+func (c *sidecarCommand) Run(env gtcommand.Env) error {
+	// The platform signals a changed settings file. What changes in it is read
+	// at the next start.
+	signal.Ignore(syscall.SIGHUP)
+	path := os.Getenv(gtplatform.BootVariable)
+	if path == "" {
+		return errorx.IllegalArgument.New("%s is not set; it names the platform's settings file", gtplatform.BootVariable)
+	}
+	boot, err := gtplatform.LoadBoot(path)
+	if err != nil {
+		return err
+	}
+	level, err := zerolog.ParseLevel(c.Level)
+	if err != nil {
+		return errorx.Decorate(err, "--level")
+	}
+	gtnode.TuneMemory(boot.Memory())
+	log := zerolog.New(os.Stdout).Level(level).With().Timestamp().Str("node", boot.Settings().Node.Instance).Logger()
+	return (&gtplatform.Adapter{Boot: boot, Log: log}).Run(env.Context())
+}
