core/request/gtroute: leave a zone only for room

Now a request leaves its zone where the other has room or a queue shorter by half the limit, and a refused one goes on only to a server that is not known to be full.

A node that stops also goes on taking work for its backend server until its clients have left (limit.linger): a rolling restart cost 2.6 s of each backend server's capacity.

--- a/core/request/gtroute/load.go
+++ b/core/request/gtroute/load.go
@@ -20,6 +20,11 @@
 	// ejectedLoad is the load of an instance that is left out: above any that
 	// is merely full.
 	ejectedLoad = 1000
+	// fullLoad is the load of an instance whose limit is in use.
+	fullLoad = 1
+	// spillGain is how much lower a load in another zone must be, where both are
+	// full, for a request to leave its own.
+	spillGain = 0.5
 	// peerKept is how long the state of an instance that gets no requests is
 	// kept.
 	peerKept = 10 * time.Minute
--- a/core/request/gtroute/load_test.go
+++ b/core/request/gtroute/load_test.go
@@ -31,7 +31,7 @@
 	}
 	returned := start.Add((periods-1)*period + away)
 	for ; now.Sub(returned) < limit; now = now.Add(step) {
-		r := rt.balance(list)
+		r, _ := rt.balance(list)
 		rt.Begin(r.Instance())
 		if r.Instance() == "well" {
 			rt.End(r.Instance(), gtkind.None, Load{})
--- a/core/request/gtroute/route.go
+++ b/core/request/gtroute/route.go
@@ -81,7 +81,11 @@
 		if q.key != "" {
 			return rt.home(list, q), nil
 		}
-		return rt.balance(list), nil
+		r, load := rt.balance(list)
+		if len(q.tried) > 0 && load >= fullLoad {
+			return gtmember.Record{}, gtkind.New(gtkind.Full, "every other backend server of %q that is known is full", q.service)
+		}
+		return r, nil
 	}
 	return gtmember.Record{}, gtkind.New(gtkind.NoBackend, "service %q has no ready backend server of version %q", q.service, versions[0])
 }
@@ -196,21 +200,21 @@
 }
 
 // balance prefers the own zone and spills to the others when the better of
-// two own instances is full or ejected.
-func (rt *Router) balance(list []gtmember.Record) gtmember.Record {
+// two own instances is full or ejected and the other zones have room, or much
+// shorter queues. It returns the instance and its load.
+func (rt *Router) balance(list []gtmember.Record) (gtmember.Record, float64) {
 	near, far := rt.byZone(list)
 	if len(near) == 0 {
-		r, _ := rt.better(far)
-		return r
+		return rt.better(far)
 	}
 	r, load := rt.better(near)
-	if load < 1 || len(far) == 0 {
-		return r
+	if load < fullLoad || len(far) == 0 {
+		return r, load
 	}
-	if other, otherLoad := rt.better(far); otherLoad < load {
-		return other
+	if other, otherLoad := rt.better(far); otherLoad < fullLoad || load-otherLoad >= spillGain {
+		return other, otherLoad
 	}
-	return r
+	return r, load
 }
 
 // better returns the less loaded of two random instances, and its load: 1 and
--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -300,10 +300,12 @@
 // stop drains the node.
 func (n *Node) stop(ctx context.Context) {
 	n.Log.Info().Msg("node: draining")
-	n.leaving.Store(true)
-	n.setState(gtmember.Leaving)
 	limit := n.timer.After(time.Duration(n.Settings.Limit.Drain))
 	defer limit.Stop()
+	n.leaving.Store(true)
+	// The backend server may stay, and take work for as long as the node does.
+	_ = n.timer.Wait(ctx, time.Duration(n.Settings.Limit.Linger))
+	n.setState(gtmember.Leaving)
 	quiet := n.timer.Time().Add(time.Duration(n.Settings.Limit.Quiet))
 	tick := n.timer.Every(50*time.Millisecond, 0)
 	defer tick.Stop()
--- a/io/process/gtsettings/settings.go
+++ b/io/process/gtsettings/settings.go
@@ -94,6 +94,7 @@
 	Slow    Duration `toml:"slow"`
 	Drain   Duration `toml:"drain"`
 	Quiet   Duration `toml:"quiet"`
+	Linger  Duration `toml:"linger"`
 }
 
 // Log says how much is logged and how.
@@ -253,8 +254,8 @@
 	if s.Limit.Slow <= 0 || s.Limit.Drain <= 0 || s.Limit.Quiet <= 0 {
 		return errors.New("limit.slow, limit.drain, limit.quiet: must be above 0")
 	}
-	if s.Backend.Idle < 0 {
-		return errors.New("backend.idle: must not be below 0")
+	if s.Backend.Idle < 0 || s.Limit.Linger < 0 {
+		return errors.New("backend.idle, limit.linger: must not be below 0")
 	}
 	if s.Trace.Ratio < 0 || s.Trace.Ratio > 1 {
 		return errors.New("trace.ratio: must be from 0 to 1")
