--- a/core/version/gtconfig/merge.go
+++ b/core/version/gtconfig/merge.go
@@ -21,7 +21,7 @@
 	// DefaultWatch is how long faults are looked for after a move's end.
 	DefaultWatch = 5 * time.Minute
 	// MaxRank is the rank of the least urgent requests.
-	MaxRank = 3
+	MaxRank = 7
 	// MaxAttempts is the largest number of backend servers for one request.
 	MaxAttempts = 10
 	// MaxWeight is the largest weight of a service in a split.
