--- a/io/request/gtedge/edge.go
+++ b/io/request/gtedge/edge.go
@@ -104,7 +104,7 @@
 	end(err)
 	e.Answered(c, err, e.Now().Sub(start))
 	if err != nil {
-		e.Dialect.Fail(w, r, err)
+		e.Dialect.Fail(w, err)
 		return
 	}
 	gthop.WriteAnswer(w, a)
--- a/io/request/gthop/dialect.go
+++ b/io/request/gthop/dialect.go
@@ -23,7 +23,7 @@
 	// with a kind for one that is not to be passed on.
 	Check func(c gtcall.Call, status int, h http.Header) error
 	// Refuse answers a caller with an error.
-	Refuse func(w http.ResponseWriter, r *http.Request, err error)
+	Refuse func(w http.ResponseWriter, err error)
 }
 
 func (d Dialect) name(r *http.Request) string {
@@ -63,12 +63,12 @@
 }
 
 // Fail answers a caller with an error.
-func (d Dialect) Fail(w http.ResponseWriter, r *http.Request, err error) {
+func (d Dialect) Fail(w http.ResponseWriter, err error) {
 	if d.Refuse == nil {
 		WriteError(w, err)
 		return
 	}
-	d.Refuse(w, r, err)
+	d.Refuse(w, err)
 }
 
 // dress sets the header fields of a request to the backend server.
