--- a/core/request/gtadmit/gate_test.go
+++ b/core/request/gtadmit/gate_test.go
@@ -215,3 +215,49 @@
 	g.Expect(first.Abandon()).To(gomega.BeTrue())
 	g.Expect(gate.Load().Busy()).To(gomega.BeZero())
 }
+
+// A cold server gets no more than its rate and a small burst, and all again
+// once it is warm.
+func TestColdServerGetsItsRate(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(1000, 0)
+	gate := &Gate{Now: func() time.Time { return now }, Slots: 9, Fixed: true}
+	gate.Chill(13, 3*time.Second)
+	var times []time.Time
+	for start := now; now.Sub(start) < 3*time.Second; now = now.Add(5 * time.Millisecond) {
+		if ticket, err := gate.Enter(gtconfig.Normal, now.Add(time.Second)); err == nil {
+			times = append(times, now)
+			ticket.Done("r", time.Millisecond, Good)
+		}
+	}
+	g.Expect(len(times)).To(gomega.BeNumerically(">=", 3*13))
+	for i := range times {
+		within := 0
+		for _, at := range times[i:] {
+			if at.Sub(times[i]) < time.Second {
+				within++
+			}
+		}
+		g.Expect(within).To(gomega.BeNumerically("<=", 13*1.5))
+	}
+	now = now.Add(time.Millisecond)
+	for range 9 {
+		_, err := gate.Enter(gtconfig.Normal, now.Add(time.Second))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+}
+
+// Of requests that wait, the more urgent rank runs first, whatever its
+// deadline.
+func TestRanksGoInOrder(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(1000, 0)
+	gate := &Gate{Now: func() time.Time { return now }, Slots: 1, Fixed: true}
+	first, err := gate.Enter(gtconfig.Normal, now.Add(time.Second))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	low, _ := gate.Enter(gtconfig.Normal+2, now.Add(500*time.Millisecond))
+	high, _ := gate.Enter(gtconfig.Normal+1, now.Add(time.Second))
+	first.Done("r", time.Millisecond, Good)
+	g.Expect(high.Granted()).To(gomega.BeClosed())
+	g.Expect(low.Granted()).NotTo(gomega.BeClosed())
+}
--- a/core/request/gtretry/retry_test.go
+++ b/core/request/gtretry/retry_test.go
@@ -47,3 +47,16 @@
 		g.Expect(p.Again(NewAttempt("s", gtkind.Leaving, 1, time.Second))).To(gomega.BeTrue(), "a refusal that cost nothing is free")
 	}
 }
+
+// A request gets to no more servers than its route allows; refusals that
+// reached none do not count.
+func TestRouteBoundsTheServersReached(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := &Policy{Now: func() time.Time { return time.Unix(1000, 0) }}
+	p.Sent("s")
+	cut := NewAttempt("s", gtkind.Cut, 1, time.Second).Idempotent(true)
+	g.Expect(p.Again(cut.Reached(1, 1))).To(gomega.BeFalse())
+	g.Expect(p.Again(cut.Reached(1, 2))).To(gomega.BeTrue())
+	refused := NewAttempt("s", gtkind.Refused, 2, time.Second)
+	g.Expect(p.Again(refused.Reached(0, 1))).To(gomega.BeTrue())
+}
--- a/core/request/gtroute/load_test.go
+++ b/core/request/gtroute/load_test.go
@@ -9,6 +9,7 @@
 
 	"godwittide/core/process/gtmember"
 	"godwittide/core/request/gtkind"
+	"godwittide/core/version/gtconfig"
 )
 
 // flap plays a steady load on two instances, one of which goes away for the
@@ -67,3 +68,94 @@
 	g.Expect(down).To(gomega.BeNumerically("<=", 2*time.Second))
 	g.Expect(silent).To(gomega.BeNumerically("<=", ejectMax+time.Second))
 }
+
+// With every server full, requests stay in their zone unless another has room
+// or a much shorter queue. Going to whichever is a hair less loaded moves about
+// half of them between zones for nothing.
+func TestFullServersKeepRequestsInTheirZone(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(1000, 0)
+	seed := rand.New(rand.NewPCG(3, 4))
+	list := []gtmember.Record{
+		gtmember.NewRecord("a1", "z1", "", "").WithBackend("s", "1", 10),
+		gtmember.NewRecord("b1", "z2", "", "").WithBackend("s", "1", 10),
+	}
+	crossings := func(far func() int) int {
+		rt := &Router{Now: func() time.Time { return now }, Rand: seed.Float64, Zone: "z1"}
+		crossed := 0
+		for range 1000 {
+			for i, busy := range []int{12 + seed.IntN(5), far()} {
+				rt.Begin(list[i].Instance())
+				rt.End(list[i].Instance(), gtkind.None, NewLoad(busy, 10))
+			}
+			if r, _ := rt.balance(list); r.Instance() == "b1" {
+				crossed++
+			}
+		}
+		return crossed
+	}
+	g.Expect(crossings(func() int { return 12 + seed.IntN(5) })).To(gomega.BeZero())
+	g.Expect(crossings(func() int { return 9 })).To(gomega.Equal(1000), "there is room")
+	g.Expect(crossings(func() int { return 30 })).To(gomega.BeZero())
+}
+
+// After a refusal a request goes on only to a server that may have room.
+func TestRefusedRequestIsNotSentOnToFullServers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	list := []gtmember.Record{
+		gtmember.NewRecord("a1", "z1", "", "").WithBackend("s", "1", 10).WithState(gtmember.Ready),
+		gtmember.NewRecord("b1", "z2", "", "").WithBackend("s", "1", 10).WithState(gtmember.Ready),
+	}
+	cfg, problems := gtconfig.Merge([]gtconfig.File{gtconfig.NewFile("x.toml", []gtconfig.Entry{
+		gtconfig.NewEntry("x.toml", 1, "service", "s", "timeout", gtconfig.StringValue("1s")),
+	})})
+	g.Expect(problems).To(gomega.BeEmpty())
+	rt := &Router{
+		Now: func() time.Time { return time.Unix(1000, 0) }, Rand: func() float64 { return 0.5 }, Zone: "z1",
+		Service: func(string) []gtmember.Record { return list },
+	}
+	q := NewQuery("s").WithTried([]string{"a1"})
+	r, err := rt.Pick(cfg, q)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(r.Instance()).To(gomega.Equal("b1"))
+	rt.Begin("b1")
+	rt.End("b1", gtkind.Full, NewLoad(14, 10))
+	_, err = rt.Pick(cfg, q)
+	g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.Full))
+}
+
+// During a move from any other version, a version that has no share gets
+// nothing, and the new one is not among the others.
+func TestMoveFromAnyOtherVersion(t *testing.T) {
+	g := gomega.NewWithT(t)
+	entry := func(section, name, key, text string) gtconfig.Entry {
+		return gtconfig.NewEntry("x.toml", 1, section, name, key, gtconfig.StringValue(text))
+	}
+	cfg, problems := gtconfig.Merge([]gtconfig.File{gtconfig.NewFile("x.toml", []gtconfig.Entry{
+		entry("service", "s", "timeout", "1s"), entry("move", "m", "service", "s"),
+		entry("move", "m", "from", gtconfig.Others), entry("move", "m", "to", "v3"), entry("move", "m", "within", "20s"),
+	})})
+	g.Expect(problems).To(gomega.BeEmpty())
+	list := []gtmember.Record{
+		gtmember.NewRecord("a1", "z1", "", "").WithBackend("s", "v1", 10).WithState(gtmember.Ready),
+		gtmember.NewRecord("a2", "z1", "", "").WithBackend("s", "v2", 10).WithState(gtmember.Ready),
+		gtmember.NewRecord("a3", "z1", "", "").WithBackend("s", "v3", 10).WithState(gtmember.Ready),
+	}
+	share := 0.0
+	rt := &Router{
+		Now: func() time.Time { return time.Unix(1000, 0) }, Rand: rand.New(rand.NewPCG(5, 6)).Float64, Zone: "z1",
+		Service: func(string) []gtmember.Record { return list }, Share: func(gtconfig.Move) float64 { return share },
+	}
+	picked := func() map[string]int {
+		seen := map[string]int{}
+		for range 300 {
+			r, err := rt.Pick(cfg, NewQuery("s"))
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			seen[r.Version()]++
+		}
+		return seen
+	}
+	g.Expect(picked()).To(gomega.And(gomega.HaveLen(2), gomega.Not(gomega.HaveKey("v3"))))
+	share = 1
+	g.Expect(picked()).To(gomega.Equal(map[string]int{"v3": 300}))
+}
--- a/core/version/gtmove/move.go
+++ b/core/version/gtmove/move.go
@@ -132,7 +132,7 @@
 
 const (
 	// MinStep is the least time between two steps up.
-	MinStep = 2 * time.Second
+	MinStep = time.Second
 	// MaxStep is the time after which enough evidence is let lead to the next
 	// step, however far off the end is.
 	MaxStep = time.Minute
--- a/io/connection/gtpool/pool_test.go
+++ b/io/connection/gtpool/pool_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -292,3 +293,102 @@
 		g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.Deadline))
 	})
 }
+
+// An answer to an earlier request that comes late is passed over, and the own
+// one after it is found. Without that, the request has an unknown outcome.
+func TestLateAnswerOfAnotherRequestIsPassedOver(t *testing.T) {
+	const id = "X-Id"
+	foreign := func(req *http.Request, resp *http.Response) bool { return resp.Header.Get(id) != req.Header.Get(id) }
+	for _, known := range []bool{true, false} {
+		gtclock.Run(t, func(t *testing.T, network *gtpipe.Network) {
+			g := gomega.NewWithT(t)
+			addr, conns := peer(t, network, func(_ int, w io.Writer, r *http.Request) bool {
+				_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Id: late\r\nContent-Length: 3\r\n\r\nold")
+				_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 3\r\n\r\nnew", r.Header.Get(id))
+				return true
+			})
+			p := &Pool{Dial: network.Dial, Now: time.Now, Max: 5, Quiet: time.Second}
+			if known {
+				p.Foreign = foreign
+			}
+			defer p.Close()
+			for range 3 {
+				req, _ := http.NewRequest("POST", "http://"+addr, nil)
+				req.Header.Set(id, "mine")
+				resp, err := p.Do(context.Background(), addr, "", req, false)
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				b, _ := io.ReadAll(resp.Body)
+				resp.Body.Close()
+				g.Expect(string(b) == "new").To(gomega.Equal(known))
+			}
+			if known {
+				g.Expect(conns.Load()).To(gomega.Equal(int64(1)))
+			}
+		})
+	}
+}
+
+// An idle connection to a server that sends nothing between answers is used
+// again, but not once it was closed or has stray bytes on it.
+func TestIdleConnectionIsLookedAt(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		then string
+		keep bool
+		want int64
+	}{{"quiet", "", true, 1}, {"stray bytes", "HTTP/1.1 200 OK\r\n\r\n", true, 2}, {"closed", "", false, 2}} {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			defer ln.Close()
+			var conns atomic.Int64
+			go func() {
+				for {
+					nc, err := ln.Accept()
+					if err != nil {
+						return
+					}
+					conns.Add(1)
+					go func() {
+						defer nc.Close()
+						r := bufio.NewReader(nc)
+						for {
+							if _, err := http.ReadRequest(r); err != nil {
+								return
+							}
+							_, _ = nc.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+							if c.then != "" {
+								time.Sleep(10 * time.Millisecond)
+								_, _ = nc.Write([]byte(c.then))
+							}
+							if !c.keep {
+								return
+							}
+						}
+					}()
+				}
+			}()
+			p := &Pool{
+				Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+					return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+				},
+				Now: time.Now, Max: 5, Quiet: time.Minute,
+			}
+			defer p.Close()
+			for range 2 {
+				req, _ := http.NewRequest("POST", "http://x/", nil)
+				resp, err := p.Do(context.Background(), ln.Addr().String(), "", req, false)
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				resp.Body.Close()
+				idle := p.pop(ln.Addr().String(), "")
+				g.Expect(idle).NotTo(gomega.BeNil())
+				if c.want > 1 {
+					g.Eventually(idle.quiet).Should(gomega.BeFalse())
+				}
+				p.push(idle)
+			}
+			g.Expect(conns.Load()).To(gomega.Equal(c.want))
+		})
+	}
+}
--- a/io/process/gtsettings/settings.go
+++ b/io/process/gtsettings/settings.go
@@ -153,7 +153,7 @@
 	d := toml.NewDecoder(strings.NewReader(text))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&cfg); err != nil {
-		return Settings{}, place(name, err)
+		return Settings{}, Place(name, err)
 	}
 	if err := cfg.Check(); err != nil {
 		return Settings{}, errorx.IllegalArgument.New("%s: %s", name, err.Error())
@@ -161,7 +161,8 @@
 	return cfg, nil
 }
 
-func place(name string, err error) error {
+// Place returns an error of the decoder with the file, the line and the key.
+func Place(name string, err error) error {
 	var unknown *toml.StrictMissingError
 	if errors.As(err, &unknown) && len(unknown.Errors) > 0 {
 		e := unknown.Errors[0]
