platform: count as ready once a peer has told of the others

Cause: a node that has just started has a configuration within some 10 ms but knows only itself, and refused what its clients sent. The collector also keeps less memory where memory is shared out (GOGC 200).

--- a/io/process/gtnode/admin.go
+++ b/io/process/gtnode/admin.go
@@ -104,6 +104,19 @@
 // Started says whether the node has started and serves.
 func (n *Node) Started() bool { return n.running.Load() }
 
+// joinLimit is how long after its start a node waits for a peer to tell it of
+// the others. Then it takes itself for the first.
+const joinLimit = 2 * time.Second
+
+// Joined says whether the node has a configuration, and knows of the others
+// what a peer does.
+func (n *Node) Joined() bool {
+	if !n.Started() || n.Current().Version() == 0 {
+		return false
+	}
+	return n.overlay.Compared() || n.timer.Time().Sub(n.started) > joinLimit
+}
+
 // Member returns the record that the node holds of an instance.
 func (n *Node) Member(instance string) (gtmember.Record, bool) { return n.table.Get(instance) }
 
--- a/io/process/gtnode/memory.go
+++ b/io/process/gtnode/memory.go
@@ -7,6 +7,8 @@
 	// collections. Live memory is small, and each collection costs the tail of
 	// the latency.
 	gcPercent = 800
+	// gcPercentShared is the same on a machine whose memory is shared out.
+	gcPercentShared = 200
 	// memoryLimit is the size in bytes near which collections become as
 	// frequent as they must.
 	memoryLimit = 200 << 20
@@ -18,10 +20,11 @@
 // TuneMemory sets the collector of this process to what a node needs, on a
 // machine that gives it so many bytes; 0 means enough.
 func TuneMemory(given int64) {
-	debug.SetGCPercent(gcPercent)
-	limit := int64(memoryLimit)
-	if given > 0 {
-		limit = min(limit, given*memoryPart/100)
+	if given == 0 {
+		debug.SetGCPercent(gcPercent)
+		debug.SetMemoryLimit(memoryLimit)
+		return
 	}
-	debug.SetMemoryLimit(limit)
+	debug.SetGCPercent(gcPercentShared)
+	debug.SetMemoryLimit(min(memoryLimit, given*memoryPart/100))
 }
--- a/io/process/gtoverlay/digest.go
+++ b/io/process/gtoverlay/digest.go
@@ -84,11 +84,19 @@
 		return
 	}
 	defer o.comparing.Store(false)
-	if err := o.compare(ctx, e); errorx.IsOfType(err, errorx.IllegalFormat) {
+	err := o.compare(ctx, e)
+	if err == nil {
+		o.compared.Store(true)
+	}
+	if errorx.IsOfType(err, errorx.IllegalFormat) {
 		e.link.Close()
 	}
 }
 
+// Compared says whether the node has compared what it knows with a peer since
+// its start.
+func (o *Overlay) Compared() bool { return o.compared.Load() }
+
 func (o *Overlay) compare(ctx context.Context, e *entry) error {
 	var answer Repair
 	if err := e.link.Ask(ctx, "digest", o.digest(), &answer); err != nil {
--- a/io/process/gtoverlay/overlay.go
+++ b/io/process/gtoverlay/overlay.go
@@ -92,6 +92,7 @@
 	batch     gtshard.Map[pending]
 	due       chan struct{}
 	comparing atomic.Bool
+	compared  atomic.Bool
 	late      atomic.Int64
 	fetching  atomic.Bool
 	fetchWant atomic.Int64
