core/request/gtroute: choose servers by what a route's requests take there

Ruled out: cut links (the node beside it answered at once) and its gate (nobody waited there).

Nodes now tell each route's pace with their answers. Among servers with room the one with less time ahead is taken; a request leaves its zone for a server three times as fast.

--- a/core/request/gtadmit/gate.go
+++ b/core/request/gtadmit/gate.go
@@ -44,7 +44,9 @@
 	// serviceWeight is the weight of the newest answer in the mean latency.
 	serviceWeight = 0.1
 
-	classes = gtconfig.Classes
+	// paceWeight is the weight of the newest answer in a route's pace.
+	paceWeight = 0.2
+	classes    = gtconfig.Classes
 	// coldBurst is how many requests a cold backend server may get at once, as
 	// a part of those that it bears in a second.
 	coldBurst = 0.25
@@ -85,6 +87,7 @@
 	refused uint64
 	closed  gtkind.Kind
 	cold    cold
+	paces   map[string]time.Duration
 }
 
 // cold bounds the rate of requests to a cold backend server.
@@ -279,6 +282,7 @@
 	if result == Good {
 		g.follow(t.class, latency)
 	}
+	g.pace(route, latency, result)
 	if g.Fixed {
 		return
 	}
@@ -291,6 +295,24 @@
 	}
 }
 
+// pace moves a route's pace. A request that failed says at least that an answer
+// takes as long.
+func (g *Gate) pace(route string, latency time.Duration, result Result) {
+	was, known := g.paces[route]
+	switch {
+	case result == Shed, result == Failed && latency <= was:
+		return
+	case !known && len(g.paces) >= maxRoutes:
+		return
+	case !known:
+		was = latency
+	}
+	if g.paces == nil {
+		g.paces = map[string]time.Duration{}
+	}
+	g.paces[route] = was + time.Duration(paceWeight*float64(latency-was))
+}
+
 // follow moves the mean latency of a class; the first answer sets it.
 func (g *Gate) follow(class gtconfig.Class, latency time.Duration) {
 	if g.mean[class] == 0 {
@@ -320,6 +342,7 @@
 		g.limit.reset(g.Slots, now)
 	}
 	g.mean = [classes]time.Duration{}
+	g.paces = nil
 }
 
 // Chill bounds the rate of requests, a second, for as long as the backend server
@@ -361,8 +384,9 @@
 	g.closed = k
 }
 
-// Load returns the requests that run or wait, and the limit.
-func (g *Gate) Load() gtroute.Load {
+// Load returns the requests that run or wait, the limit, and the pace of a
+// route.
+func (g *Gate) Load(route string) gtroute.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.begin()
@@ -370,7 +394,7 @@
 	for c := range classes {
 		busy += g.running[c] + len(g.queue[c])
 	}
-	return gtroute.NewLoad(busy, g.limit.whole())
+	return gtroute.NewLoad(busy, g.limit.whole()).WithPace(g.paces[route])
 }
 
 // Refused returns how many requests were refused as too much.
--- a/core/request/gtadmit/gate_test.go
+++ b/core/request/gtadmit/gate_test.go
@@ -213,7 +213,7 @@
 	_, err = gate.Enter(gtconfig.Normal, now.Add(time.Second))
 	g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.Leaving))
 	g.Expect(first.Abandon()).To(gomega.BeTrue())
-	g.Expect(gate.Load().Busy()).To(gomega.BeZero())
+	g.Expect(gate.Load("").Busy()).To(gomega.BeZero())
 }
 
 // A cold server gets no more than its rate and a small burst, and all again
--- a/core/request/gtroute/load.go
+++ b/core/request/gtroute/load.go
@@ -10,6 +10,13 @@
 const (
 	// loadFresh is how long a load that an answer told counts.
 	loadFresh = 2 * time.Second
+	// paceFresh is how long a pace that an answer told counts.
+	paceFresh = 3 * time.Second
+	// slowPace is how many times slower an instance must be than another one for
+	// requests to leave their zone.
+	slowPace = 3.0
+	// maxPaces bounds the routes whose pace is known of an instance.
+	maxPaces = 64
 	// ejectFirst and ejectMax bound how long an instance is left out after
 	// failures in a row.
 	ejectFirst = 500 * time.Millisecond
@@ -34,11 +41,22 @@
 type Load struct {
 	busy  int
 	limit int
+	pace  time.Duration
 }
 
 // NewLoad returns a load: requests that run or wait, and how many may run.
 func NewLoad(busy, limit int) Load { return Load{busy: busy, limit: limit} }
 
+// WithPace returns a copy with the time that requests of the route at hand take
+// there now, once they run.
+func (l Load) WithPace(d time.Duration) Load {
+	l.pace = d
+	return l
+}
+
+// Pace returns that time, or 0 if it is not known.
+func (l Load) Pace() time.Duration { return l.pace }
+
 // Busy returns the number of requests that run or wait.
 func (l Load) Busy() int { return l.busy }
 
@@ -52,6 +70,30 @@
 	failures  int
 	ejectedTo time.Time
 	used      time.Time
+	paces     map[string]pace
+}
+
+// pace is what an answer told of the time that a route's requests take.
+type pace struct {
+	d  time.Duration
+	at time.Time
+}
+
+// tell notes a route's pace. Of a peer with too many routes it forgets some.
+func (p *peer) tell(route string, d time.Duration, now time.Time) {
+	if d <= 0 {
+		return
+	}
+	if p.paces == nil {
+		p.paces = map[string]pace{}
+	}
+	if _, ok := p.paces[route]; !ok && len(p.paces) >= maxPaces {
+		for r := range p.paces {
+			delete(p.paces, r)
+			break
+		}
+	}
+	p.paces[route] = pace{d, now}
 }
 
 // Begin counts a request that is being sent to the instance.
@@ -59,15 +101,16 @@
 	rt.with(instance, func(p *peer) { p.inflight++ })
 }
 
-// End takes back what Begin counted and learns from the outcome: from the load
-// that the answer told, and from failures in a row, which eject the instance
-// for a time.
-func (rt *Router) End(instance string, k gtkind.Kind, told Load) {
+// End takes back what Begin counted and learns from the outcome of a request on
+// a route: from the load that the answer told, and from failures in a row, which
+// eject the instance for a time.
+func (rt *Router) End(instance, route string, k gtkind.Kind, told Load) {
 	now := rt.Now()
 	rt.with(instance, func(p *peer) {
 		p.inflight--
 		if told.limit > 0 {
 			p.told, p.toldAt = told, now
+			p.tell(route, told.pace, now)
 		}
 		if !blames(k) {
 			p.failures = 0
@@ -122,10 +165,34 @@
 	})
 }
 
-// load returns the share of its limit that an instance has in use.
-func (rt *Router) load(r gtmember.Record) float64 {
+// state is what a choice between instances depends on.
+type state struct {
+	r gtmember.Record
+	// load is the share of its limit that the instance has in use.
+	load float64
+	// pace is the time that a request takes there, or 0.
+	pace time.Duration
+}
+
+// before says whether s is to be preferred to o: by the time that a request
+// would take, if both have room and that is known, else by load.
+func (s state) before(o state) bool {
+	if s.pace == 0 || o.pace == 0 || max(s.load, o.load) >= fullLoad {
+		return s.load < o.load
+	}
+	return float64(s.pace)*(1+s.load) < float64(o.pace)*(1+o.load)
+}
+
+// slower says whether s is so much slower than o that a request had better go
+// to o, although that is in another zone.
+func (s state) slower(o state) bool {
+	return s.pace > 0 && o.pace > 0 && float64(s.pace) > slowPace*float64(o.pace)
+}
+
+// state returns what is known of an instance.
+func (rt *Router) state(r gtmember.Record, route string) state {
 	now := rt.Now()
-	load := 0.0
+	s := state{r: r}
 	rt.peers.Do(r.Instance(), func(m map[string]*peer) {
 		p := m[r.Instance()]
 		if p == nil {
@@ -137,10 +204,13 @@
 			limit = p.told.limit
 			busy = max(busy, p.told.busy)
 		}
-		load = float64(busy) / float64(limit)
+		s.load = float64(busy) / float64(limit)
 		if now.Before(p.ejectedTo) {
-			load += ejectedLoad
+			s.load += ejectedLoad
+		}
+		if told, ok := p.paces[route]; ok && now.Sub(told.at) < paceFresh {
+			s.pace = told.d
 		}
 	})
-	return load
+	return s
 }
--- a/core/request/gtroute/load_test.go
+++ b/core/request/gtroute/load_test.go
@@ -32,18 +32,18 @@
 	}
 	returned := start.Add((periods-1)*period + away)
 	for ; now.Sub(returned) < limit; now = now.Add(step) {
-		r, _ := rt.balance(list)
+		r := rt.balance(list, "r").r
 		rt.Begin(r.Instance())
 		if r.Instance() == "well" {
-			rt.End(r.Instance(), gtkind.None, Load{})
+			rt.End(r.Instance(), "r", gtkind.None, Load{})
 			continue
 		}
 		if now.Before(returned) && now.Sub(start)%period < away {
 			failed++
-			rt.End(r.Instance(), k, Load{})
+			rt.End(r.Instance(), "r", k, Load{})
 			continue
 		}
-		rt.End(r.Instance(), gtkind.None, Load{})
+		rt.End(r.Instance(), "r", gtkind.None, Load{})
 		if !now.Before(returned) {
 			break
 		}
@@ -86,9 +86,9 @@
 		for range 1000 {
 			for i, busy := range []int{12 + seed.IntN(5), far()} {
 				rt.Begin(list[i].Instance())
-				rt.End(list[i].Instance(), gtkind.None, NewLoad(busy, 10))
+				rt.End(list[i].Instance(), "r", gtkind.None, NewLoad(busy, 10))
 			}
-			if r, _ := rt.balance(list); r.Instance() == "b1" {
+			if r := rt.balance(list, "r").r; r.Instance() == "b1" {
 				crossed++
 			}
 		}
@@ -119,7 +119,7 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(r.Instance()).To(gomega.Equal("b1"))
 	rt.Begin("b1")
-	rt.End("b1", gtkind.Full, NewLoad(14, 10))
+	rt.End("b1", "r", gtkind.Full, NewLoad(14, 10))
 	_, err = rt.Pick(cfg, q)
 	g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.Full))
 }
--- a/core/request/gtroute/route.go
+++ b/core/request/gtroute/route.go
@@ -25,6 +25,7 @@
 // Query is what the choice depends on.
 type Query struct {
 	service string
+	route   string
 	key     string
 	tried   []string
 }
@@ -32,6 +33,12 @@
 // NewQuery returns a query for a service.
 func NewQuery(service string) Query { return Query{service: service} }
 
+// WithRoute returns a copy with the route that the request came by.
+func (q Query) WithRoute(route string) Query {
+	q.route = route
+	return q
+}
+
 // WithKey returns a copy with the caller's key.
 func (q Query) WithKey(key string) Query {
 	q.key = key
@@ -81,11 +88,11 @@
 		if q.key != "" {
 			return rt.home(list, q), nil
 		}
-		r, load := rt.balance(list)
-		if len(q.tried) > 0 && load >= fullLoad {
+		best := rt.balance(list, q.route)
+		if len(q.tried) > 0 && best.load >= fullLoad {
 			return gtmember.Record{}, gtkind.New(gtkind.Full, "every other backend server of %q that is known is full", q.service)
 		}
-		return r, nil
+		return best.r, nil
 	}
 	return gtmember.Record{}, gtkind.New(gtkind.NoBackend, "service %q has no ready backend server of version %q", q.service, versions[0])
 }
@@ -200,53 +207,59 @@
 }
 
 // balance prefers the own zone and spills to the others when the better of
-// two own instances is full or ejected and the other zones have room, or much
-// shorter queues. It returns the instance and its load.
-func (rt *Router) balance(list []gtmember.Record) (gtmember.Record, float64) {
+// two own instances is full, ejected or far slower, and the other zones have
+// room, or much shorter queues.
+func (rt *Router) balance(list []gtmember.Record, route string) state {
 	near, far := rt.byZone(list)
 	if len(near) == 0 {
-		return rt.better(far)
+		return rt.better(far, route)
 	}
-	r, load := rt.better(near)
-	if load < fullLoad || len(far) == 0 {
-		return r, load
+	own := rt.better(near, route)
+	if len(far) == 0 {
+		return own
 	}
-	if other, otherLoad := rt.better(far); otherLoad < fullLoad || load-otherLoad >= spillGain {
-		return other, otherLoad
+	other := rt.better(far, route)
+	switch {
+	case own.load < fullLoad && other.load < fullLoad && own.slower(other):
+		return other
+	case own.load < fullLoad:
+		return own
+	case other.load < fullLoad, own.load-other.load >= spillGain:
+		return other
+	default:
+		return own
 	}
-	return r, load
 }
 
-// better returns the less loaded of two random instances, and its load: 1 and
-// above is full, ejectedLoad and above is ejected.
-func (rt *Router) better(list []gtmember.Record) (gtmember.Record, float64) {
+// better returns the better of two random instances.
+func (rt *Router) better(list []gtmember.Record, route string) state {
 	i := rt.index(len(list))
-	a, loadA := list[i], rt.load(list[i])
+	a := rt.state(list[i], route)
 	if len(list) == 1 {
-		return a, loadA
+		return a
 	}
 	j := rt.index(len(list) - 1)
 	if j >= i {
 		j++
 	}
-	b, loadB := list[j], rt.load(list[j])
-	if min(loadA, loadB) >= ejectedLoad {
-		return rt.least(list)
+	b := rt.state(list[j], route)
+	if min(a.load, b.load) >= ejectedLoad {
+		return rt.least(list, route)
 	}
-	if loadB < loadA {
-		return b, loadB
+	if b.before(a) {
+		return b
 	}
-	return a, loadA
+	return a
 }
 
-func (rt *Router) least(list []gtmember.Record) (gtmember.Record, float64) {
-	best, load := list[0], rt.load(list[0])
+func (rt *Router) least(list []gtmember.Record, route string) state {
+	best := rt.state(list[0], route)
 	for _, r := range list[1:] {
-		if l := rt.load(r); l < load {
-			best, load = r, l
+		if s := rt.state(r, route); s.load < best.load {
+			best = s
 		}
 	}
-	return best, load
+	return best
 }
 
 func (rt *Router) index(n int) int {
--- a/io/process/gtnode/admin.go
+++ b/io/process/gtnode/admin.go
@@ -91,7 +91,7 @@
 func (n *Node) Status() Status {
 	self := n.table.Self()
 	current := n.holder.Current()
-	load := n.gate.Load()
+	load := n.gate.Load("")
 	sent, received := n.overlay.Bytes()
 	return Status{
 		Instance: self.Instance(), Zone: self.Zone(), Service: self.Service(), Backend: self.Version(), State: self.State().String(),
--- a/io/request/gtedge/edge.go
+++ b/io/request/gtedge/edge.go
@@ -193,7 +193,7 @@
 // balance sends a call to the backend server that the router picks, and to
 // another after a failure as far as the retry policy lets it.
 func (e *Edge) balance(ctx context.Context, cfg *gtconfig.Config, c gtcall.Call) (gtcall.Answer, error) {
-	q := gtroute.NewQuery(c.Service())
+	q := gtroute.NewQuery(c.Service()).WithRoute(c.Route())
 	e.Retry.Sent(c.Service())
 	var tried []string
 	var last error
@@ -256,7 +256,11 @@
 		a, err = e.Client.Send(ctx, to, c)
 	}
 	k := gtkind.Of(err)
-	e.Router.End(to.Instance(), k, a.Load())
+	load := a.Load()
+	if to.Instance() == e.Self {
+		load = e.Beside.Gate.Load(c.Route())
+	}
+	e.Router.End(to.Instance(), c.Route(), k, load)
 	e.observe(c, to, a, k, e.Now().Sub(start))
 	if k == gtkind.Crashed && to.Instance() != e.Self {
 		e.Crashed(gtonce.NewCrash(c.Fingerprint(), c.Crashes()+1, !c.Idempotent(), e.Now().Add(gtonce.CrashWindow)))
--- a/io/request/gthop/beside.go
+++ b/io/request/gthop/beside.go
@@ -99,7 +99,7 @@
 				return gtcall.Answer{}, gtkind.New(gtkind.Deadline, "the first request with this key is still running")
 			}
 		case gtonce.Replay:
-			return entry.Answer().(gtcall.Answer).WithLoad(b.Gate.Load()), nil
+			return entry.Answer().(gtcall.Answer).WithLoad(b.Gate.Load(c.Route())), nil
 		default:
 			return gtcall.Answer{}, refusal(verdict)
 		}
@@ -189,7 +189,7 @@
 		a, err = readAnswer(resp, b.Buffer, finish)
 		if err == nil {
 			b.survived(c)
-			return a.WithLoad(b.Gate.Load()), nil
+			return a.WithLoad(b.Gate.Load(c.Route())), nil
 		}
 		return gtcall.Answer{}, b.broken(ctx, c, err)
 	}
--- a/io/request/gthop/handler.go
+++ b/io/request/gthop/handler.go
@@ -46,7 +46,7 @@
 	w.Header().Set(HeaderID, r.Header.Get(HeaderID))
 	defer Recover(w, h.Panicked)
 	a, err := h.serve(w, r)
-	w.Header().Set(HeaderLoad, encodeLoad(h.Beside.Gate.Load()))
+	w.Header().Set(HeaderLoad, encodeLoad(h.Beside.Gate.Load(r.Header.Get(HeaderRoute))))
 	if err != nil {
 		WriteError(w, err)
 		return
--- a/io/request/gthop/head.go
+++ b/io/request/gthop/head.go
@@ -60,7 +60,7 @@
 	// HeaderCrashes holds the number of backend servers that are known to have
 	// crashed with the request in flight.
 	HeaderCrashes = "Gt-Crashes"
-	// HeaderLoad holds busy/limit of the answering node's backend server.
+	// HeaderLoad holds busy/limit/pace of the answering node's backend server.
 	HeaderLoad = "Gt-Load"
 	// HeaderKind holds the error kind, in answers that the system itself made.
 	HeaderKind = "Gt-Kind"
@@ -165,17 +165,26 @@
 		WithHeader(Clean(h)), nil
 }
 
-func encodeLoad(l gtroute.Load) string { return fmt.Sprintf("%d/%d", l.Busy(), l.Limit()) }
+// encodeLoad writes a load as busy/limit/pace, the pace in milliseconds.
+func encodeLoad(l gtroute.Load) string {
+	return fmt.Sprintf("%d/%d/%d", l.Busy(), l.Limit(), l.Pace().Milliseconds())
+}
 
 func decodeLoad(s string) gtroute.Load {
-	a, b, ok := strings.Cut(s, "/")
-	if !ok {
+	parts := strings.Split(s, "/")
+	if len(parts) != 3 {
 		return gtroute.Load{}
 	}
-	busy, err1 := strconv.Atoi(a)
-	limit, err2 := strconv.Atoi(b)
-	if err1 != nil || err2 != nil || busy < 0 || limit < 1 {
+	var n [3]int
+	for i, p := range parts {
+		v, err := strconv.Atoi(p)
+		if err != nil || v < 0 {
+			return gtroute.Load{}
+		}
+		n[i] = v
+	}
+	if n[1] < 1 || time.Duration(n[2]) > gtconfig.MaxTimeout/time.Millisecond {
 		return gtroute.Load{}
 	}
-	return gtroute.NewLoad(busy, limit)
+	return gtroute.NewLoad(n[0], n[1]).WithPace(time.Duration(n[2]) * time.Millisecond)
 }
