--- a/core/request/gtadmit/gate.go
+++ b/core/request/gtadmit/gate.go
@@ -31,9 +31,9 @@
 const (
 	// MaxWait is the longest time that a request is let wait for its turn.
 	MaxWait = 250 * time.Millisecond
-	// queuePerSlot bounds the queue of each class, for each slot, unless it is
-	// that of a burst.
-	queuePerSlot = 2
+	// queueSlots is the number of slots for each place in the queue of a class,
+	// unless it is that of a burst: enough to keep the slots in use.
+	queueSlots = 2
 	// maxQueue bounds the queue of a burst, for its memory.
 	maxQueue = 1024
 	// fastMemory is how long after the last fast request a part of the limit
@@ -235,7 +235,7 @@
 // that is known. One that stands for longer only makes all requests late.
 func (g *Gate) queueRoom(class gtconfig.Class, now time.Time) int {
 	if g.mean[class] == 0 || now.Sub(g.emptyAt[class]) > MaxWait {
-		return queuePerSlot * g.Slots
+		return max(1, g.Slots/queueSlots)
 	}
 	return maxQueue
 }
--- a/core/request/gtadmit/gate_test.go
+++ b/core/request/gtadmit/gate_test.go
@@ -148,8 +148,8 @@
 }
 
 // Callers that were held up send what they owe at one moment. What can run
-// within the longest wait is not refused. A queue of two for each slot would
-// refuse all but the first 30.
+// within the longest wait is not refused. A queue of half the slots would
+// refuse all but the first 15.
 func TestBurstWaitsForItsTurn(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := newServer(10, 10)
@@ -173,7 +173,7 @@
 	s.offer(1600, 2*time.Second)
 	s.longest, s.good = 0, 0
 	s.offer(1600, 10*time.Second)
-	g.Expect(s.longest).To(gomega.BeNumerically("<=", s.work+queuePerSlot*slots*s.work/(capacity/2)))
+	g.Expect(s.longest).To(gomega.BeNumerically("<=", s.work+slots/queueSlots*s.work/(capacity/2)))
 	g.Expect(s.good).To(gomega.BeNumerically(">", 7200), "nine tenths of what it can run")
 }
 
@@ -193,7 +193,7 @@
 func TestQueueIsOrderedAndBounded(t *testing.T) {
 	g := gomega.NewWithT(t)
 	now := time.Unix(1000, 0)
-	gate := &Gate{Now: func() time.Time { return now }, Slots: 1}
+	gate := &Gate{Now: func() time.Time { return now }, Slots: 4}
 	first, err := gate.Enter(gtconfig.Normal, now.Add(time.Second))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	late, _ := gate.Enter(gtconfig.Normal, now.Add(time.Second))
