core/request/gtroute: let pace count only where one server is far slower

Among two servers of a zone that both came back cold, the one that told a pace of 30 ms more was left out until that was forgotten.

Now load decides unless one server is three times and 100 ms slower.

--- a/core/request/gtroute/load.go
+++ b/core/request/gtroute/load.go
@@ -12,9 +12,11 @@
 	loadFresh = 2 * time.Second
 	// paceFresh is how long a pace that an answer told counts.
 	paceFresh = 3 * time.Second
-	// slowPace is how many times slower an instance must be than another one for
-	// requests to leave their zone.
+	// slowPace is how many times slower than another one an instance must be to
+	// count as slow.
 	slowPace = 3.0
+	// slowGain is the least time that a request must gain by going to the other.
+	slowGain = 100 * time.Millisecond
 	// maxPaces bounds the routes whose pace is known of an instance.
 	maxPaces = 64
 	// ejectFirst and ejectMax bound how long an instance is left out after
@@ -174,19 +176,19 @@
 	pace time.Duration
 }
 
-// before says whether s is to be preferred to o: by the time that a request
-// would take, if both have room and that is known, else by load.
+// before says whether s is to be preferred to o: by load, unless both have room
+// and one is far slower.
 func (s state) before(o state) bool {
-	if s.pace == 0 || o.pace == 0 || max(s.load, o.load) >= fullLoad {
-		return s.load < o.load
+	if max(s.load, o.load) < fullLoad && s.slower(o) != o.slower(s) {
+		return o.slower(s)
 	}
-	return float64(s.pace)*(1+s.load) < float64(o.pace)*(1+o.load)
+	return s.load < o.load
 }
 
 // slower says whether s is so much slower than o that a request had better go
-// to o, although that is in another zone.
+// to o, also in another zone.
 func (s state) slower(o state) bool {
-	return s.pace > 0 && o.pace > 0 && float64(s.pace) > slowPace*float64(o.pace)
+	return o.pace > 0 && float64(s.pace) > slowPace*float64(o.pace) && s.pace-o.pace >= slowGain
 }
 
 // state returns what is known of an instance.
