io/process/gtlog: write logs to standard output without waiting

One line for each refusal, failure, retry and arrival at a server's node, by request id, with what decided it: version and age of the configuration, load, limit and pace, certainty. 20 a second of each kind; the surplus is told as a count. Lines go through a ring (zerolog's diode) that drops and counts when nobody reads: shown with a pipe that is full. A request in 256 that goes well is logged on all nodes that it comes to.

--- a/cmd/godwittide/node.go
+++ b/cmd/godwittide/node.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"godwittide/io/process/gtcommand"
+	"godwittide/io/process/gtlog"
 	"godwittide/io/process/gtnode"
 	"godwittide/io/process/gtsettings"
 )
@@ -41,7 +42,9 @@
 		env.Printf("%s is right\n", c.Settings)
 		return nil
 	}
-	log, err := newLog(cfg.Log)
+	out := gtlog.Open(os.Stdout)
+	defer out.Close()
+	log, err := newLog(cfg.Log, out)
 	if err != nil {
 		return err
 	}
@@ -51,16 +54,16 @@
 	return node.Run(env.Context())
 }
 
-func newLog(cfg gtsettings.Log) (zerolog.Logger, error) {
+// newLog returns a logger that writes lines to out.
+func newLog(cfg gtsettings.Log, out io.Writer) (zerolog.Logger, error) {
 	level, err := zerolog.ParseLevel(cfg.Level)
 	if err != nil {
 		return zerolog.Nop(), err
 	}
-	var w io.Writer = os.Stderr
 	if cfg.Format == "text" {
-		w = zerolog.ConsoleWriter{Out: os.Stderr, NoColor: !isTerminal(os.Stderr)}
+		out = zerolog.ConsoleWriter{Out: out, NoColor: !isTerminal(os.Stdout)}
 	}
-	return zerolog.New(w).Level(level).With().Timestamp().Logger(), nil
+	return zerolog.New(out).Level(level).With().Timestamp().Logger(), nil
 }
 
 func isTerminal(f *os.File) bool {
--- a/cmd/godwittide/sidecar.go
+++ b/cmd/godwittide/sidecar.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"godwittide/io/process/gtcommand"
+	"godwittide/io/process/gtlog"
 	"godwittide/io/process/gtnode"
 	"godwittide/platform/gtplatform"
 )
@@ -44,6 +45,8 @@
 		return errorx.Decorate(err, "--level")
 	}
 	gtnode.TuneMemory(boot.Memory())
-	log := zerolog.New(os.Stdout).Level(level).With().Timestamp().Str("node", boot.Settings().Node.Instance).Logger()
+	out := gtlog.Open(os.Stdout)
+	defer out.Close()
+	log := zerolog.New(out).Level(level).With().Timestamp().Str("node", boot.Settings().Node.Instance).Logger()
 	return (&gtplatform.Adapter{Boot: boot, Log: log}).Run(env.Context())
 }
--- a/io/process/gtnode/admin.go
+++ b/io/process/gtnode/admin.go
@@ -141,28 +141,14 @@
 	return list
 }
 
-// answered counts an answer to a caller, and logs it unless it is a backend
-// server's.
+// answered counts an answer to a caller.
 func (n *Node) answered(c gtcall.Call, err error, d time.Duration) {
 	k := gtkind.Of(err)
-	if err != nil {
-		n.requests.Info().Str("request", c.ID()).Str("service", c.Service()).Str("route", c.Route()).
-			Stringer("kind", k).Str("why", gtkind.Detail(err)).Int64("ms", d.Milliseconds()).
-			Int64("version", n.holder.Current().Set().Version()).Msg("request: refused or failed")
-	}
+	n.logAnswer(c, err, d)
 	n.scope.Tagged(map[string]string{"kind": k.String()}).Counter("answers").Inc(1)
 	n.scope.Timer("answer").Record(d)
 }
 
-// requestLines is how many lines about requests a node logs in a second.
-const requestLines = 50
-
-// requestLog returns the log of lines about single requests. What is beyond the
-// rate is left out.
-func requestLog(l zerolog.Logger) zerolog.Logger {
-	return l.Sample(&zerolog.BurstSampler{Burst: requestLines, Period: time.Second})
-}
-
 // gauges brings the gauges up to date.
 func (n *Node) gauges() {
 	s := n.Status()
--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -38,6 +38,7 @@
 	"godwittide/core/version/gtmove"
 	"godwittide/io/connection/gtpool"
 	"godwittide/io/connection/gttls"
+	"godwittide/io/process/gtlog"
 	"godwittide/io/process/gtmetric"
 	"godwittide/io/process/gtoverlay"
 	"godwittide/io/process/gtsettings"
@@ -92,7 +93,7 @@
 	metrics *gtmetric.Metrics
 	scope   tally.Scope
 
-	requests zerolog.Logger
+	book *gtlog.Book
 
 	table   *gtmember.Table
 	holder  *gtdelta.Holder
@@ -207,7 +208,7 @@
 		return err
 	}
 	n.tracer = tracer
-	n.requests = requestLog(n.Log)
+	n.book = &gtlog.Book{Log: n.Log, Now: n.timer.Time, Rate: requestLines}
 	n.buildFacts()
 	n.buildStore()
 	n.buildRequests()
@@ -258,7 +259,7 @@
 		Now: now, Self: n.table.Self, Address: cfg.Backend.Address, Buffer: cfg.Limit.Buffer, Pool: n.own,
 		Gate: n.gate, Keys: n.once, Crashes: n.crashes, Ledger: n.ledger,
 		Sure: n.sure, Crashed: n.crashed, Down: n.checkDown, ReadyAt: n.backend.readyTime, Trace: n.tracer.Start,
-		Dialect: n.Dialect,
+		Dialect: n.Dialect, Ran: n.logRun,
 	}
 	n.hop = &gthop.Handler{Beside: n.beside, Timer: n.timer, Body: cfg.Limit.Body, Panicked: n.panicked}
 	client := &gthop.Client{Now: now, Pool: n.hops, Buffer: cfg.Limit.Buffer, Trace: n.tracer.Start}
@@ -267,7 +268,7 @@
 		Body: cfg.Limit.Body, Hops: cfg.Limit.Hops, Holder: n.holder, Router: n.router, Members: n.table.Service,
 		Retry: n.retry, Crashes: n.crashes, Crashed: n.heardCrash, Sure: n.sure, Beside: n.beside, Client: client,
 		Observed: n.observed, Answered: n.answered, Trace: n.tracer.Start, Panicked: n.panicked,
-		Dialect: n.Dialect, Split: split,
+		Dialect: n.Dialect, Split: split, Again: n.logRetry,
 	}
 }
 
@@ -339,6 +340,7 @@
 			n.own.Sweep()
 			n.router.Sweep()
 			n.once.Sweep()
+			n.book.Flush()
 			n.board.Keep(n.holder.Current().Config(), gtmember.GoneFor)
 			n.gauges()
 		}
--- a/io/request/gtedge/edge.go
+++ b/io/request/gtedge/edge.go
@@ -77,6 +77,9 @@
 	// Answered is told of each answer: the call, as far as it was made, the error
 	// that it got, and the time that it took.
 	Answered func(c gtcall.Call, err error, d time.Duration)
+	// Again is told of each attempt that another one follows: the instance, the
+	// error, and how many attempts there have been.
+	Again func(c gtcall.Call, instance string, err error, count int)
 	// Dialect is how callers are spoken to.
 	Dialect gthop.Dialect
 	// Split draws the parts of split routes.
@@ -224,6 +227,10 @@
 		if a.Stream() != nil {
 			a.Stream().Close()
 		}
+		if err == nil {
+			err = gtkind.New(k, "backend server answered %d", a.Status())
+		}
+		e.Again(c, to.Instance(), err, count)
 		c = e.next(c, k)
 	}
 }
--- a/io/request/gthop/beside.go
+++ b/io/request/gthop/beside.go
@@ -49,6 +49,8 @@
 	Down func(ctx context.Context) bool
 	// ReadyAt returns when the backend server last became ready.
 	ReadyAt func() time.Time
+	// Ran is told of each call that came to this node, and what became of it.
+	Ran func(c gtcall.Call, status int, err error, d time.Duration)
 	// Dialect is how the backend server is spoken to.
 	Dialect Dialect
 	// Trace starts a span and returns the function that ends it.
@@ -58,6 +60,15 @@
 // Run runs a call and returns the backend server's answer, or an error with a
 // kind.
 func (b *Beside) Run(ctx context.Context, c gtcall.Call) (gtcall.Answer, error) {
+	start := b.Now()
+	a, err := b.run(ctx, c)
+	if b.Ran != nil {
+		b.Ran(c, a.Status(), err, b.Now().Sub(start))
+	}
+	return a, err
+}
+
+func (b *Beside) run(ctx context.Context, c gtcall.Call) (gtcall.Answer, error) {
 	if self := b.Self(); c.Service() != self.Service() {
 		return gtcall.Answer{}, gtkind.New(gtkind.Refused, "instance %s serves %q, not %q", self.Instance(), self.Service(), c.Service())
 	}
