--- a/io/process/gtnode/watch.go
+++ b/io/process/gtnode/watch.go
@@ -32,6 +32,10 @@
 	storeBackoffMax   = 5 * time.Second
 	// contactTTL is how long a first contact stands in the store.
 	contactTTL = 30 * time.Second
+	// contactRetry is the wait after a failed attempt to list this node, and
+	// contactLimit bounds one.
+	contactRetry = 600 * time.Millisecond
+	contactLimit = 800 * time.Millisecond
 	// settleTime is how long a node listens to its peers after its start before
 	// it turns to the store: they may know more than the store does.
 	settleTime = 2 * time.Second
@@ -182,28 +186,52 @@
 }
 
 // keepContact lists this node as a first contact. The lease is only a hint:
-// a contact that has lapsed or is stale costs a failed attempt, no more.
+// a contact that has lapsed or is stale costs a failed attempt, no more. While
+// the store is away it is tried so often that the contact is back two seconds
+// after the store.
 func (n *Node) keepContact(ctx context.Context) {
-	tick := n.timer.Every(contactTTL/3, 0.2)
-	defer tick.Stop()
 	var lease int64
+	failures := 0
 	for {
-		if lease == 0 || n.Store.Keep(ctx, lease) != nil {
-			lease = 0
-			if id, err := n.Store.Grant(ctx, contactTTL); err == nil {
-				if n.vault.PutContact(ctx, n.Settings.Node.Zone, n.Settings.Node.Instance, n.Settings.Listen.Peer, id) == nil {
-					lease = id
-				}
+		wait := contactTTL / 3
+		err := n.renewContact(ctx, &lease)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err != nil:
+			wait = contactRetry
+			if failures++; failures == 1 {
+				n.Log.Warn().Err(err).Msg("watch: not listed as a first contact")
 			}
+		case failures > 0:
+			n.Log.Info().Int("failures", failures).Msg("watch: listed as a first contact again")
+			failures = 0
 		}
-		select {
-		case <-ctx.Done():
+		if n.timer.Wait(ctx, time.Duration((0.8+0.4*rand.Float64())*float64(wait))) != nil {
 			return
-		case <-tick.C():
 		}
 	}
 }
 
+// renewContact renews the lease of this node's contact, or writes it anew.
+func (n *Node) renewContact(ctx context.Context, lease *int64) error {
+	ctx, cancel := context.WithTimeout(ctx, contactLimit)
+	defer cancel()
+	if *lease != 0 && n.Store.Keep(ctx, *lease) == nil {
+		return nil
+	}
+	*lease = 0
+	id, err := n.Store.Grant(ctx, contactTTL)
+	if err != nil {
+		return err
+	}
+	if err := n.vault.PutContact(ctx, n.Settings.Node.Zone, n.Settings.Node.Instance, n.Settings.Listen.Peer, id); err != nil {
+		return err
+	}
+	*lease = id
+	return nil
+}
+
 // act does what the state calls for, once.
 func (n *Node) act(ctx context.Context, state gtsnapshot.State) error {
 	n.takeMoves(state.Moves())
