core/request/gtroute: let requests leave a server that fails its answers

Cause: a backend server that refuses or fails half of its requests while its heartbeats are good kept its zone's share: nothing but connection failures spoke against it. Nodes now tell the share of answers that their server has lately failed or refused; requests go to a server that fails a fifth less.

--- a/core/request/gtadmit/gate.go
+++ b/core/request/gtadmit/gate.go
@@ -59,6 +59,8 @@
 const (
 	// Good means that the backend server answered.
 	Good Result = iota
+	// Faulty means that the backend server answered with a failure of its own.
+	Faulty
 	// Shed means that the backend server refused the request as too much.
 	Shed
 	// Failed means that no whole answer came; it says nothing of latency.
@@ -88,6 +90,7 @@
 	closed  gtkind.Kind
 	cold    cold
 	paces   map[string]time.Duration
+	faults  gtroute.Faults
 }
 
 // cold bounds the rate of requests to a cold backend server.
@@ -279,8 +282,13 @@
 }
 
 func (g *Gate) learn(t *Ticket, route string, latency time.Duration, result Result, now time.Time) {
-	if result == Good {
+	switch result {
+	case Good:
 		g.follow(t.class, latency)
+		g.faults.Add(false, now)
+	case Faulty, Shed:
+		g.faults.Add(true, now)
+	case Failed:
 	}
 	g.pace(route, latency, result)
 	if g.Fixed {
@@ -291,7 +299,7 @@
 		g.limit.observe(route, latency, t.busy, now)
 	case Shed:
 		g.limit.shed(g.busy(), now)
-	case Failed:
+	case Failed, Faulty:
 	}
 }
 
@@ -300,7 +308,7 @@
 func (g *Gate) pace(route string, latency time.Duration, result Result) {
 	was, known := g.paces[route]
 	switch {
-	case result == Shed, result == Failed && latency <= was:
+	case result == Shed, result != Good && latency <= was:
 		return
 	case !known && len(g.paces) >= maxRoutes:
 		return
@@ -342,7 +350,7 @@
 		g.limit.reset(g.Slots, now)
 	}
 	g.mean = [classes]time.Duration{}
-	g.paces = nil
+	g.paces, g.faults = nil, gtroute.Faults{}
 }
 
 // Chill bounds the rate of requests, a second, for as long as the backend server
@@ -389,12 +397,12 @@
 func (g *Gate) Load(route string) gtroute.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.begin()
+	now := g.begin()
 	busy := 0
 	for c := range classes {
 		busy += g.running[c] + len(g.queue[c])
 	}
-	return gtroute.NewLoad(busy, g.limit.whole()).WithPace(g.paces[route])
+	return gtroute.NewLoad(busy, g.limit.whole()).WithPace(g.paces[route]).WithFault(g.faults.Share(now))
 }
 
 // Refused returns how many requests were refused as too much.
--- a/core/request/gtroute/load.go
+++ b/core/request/gtroute/load.go
@@ -17,6 +17,9 @@
 	slowPace = 3.0
 	// slowGain is the least time that a request must gain by going to the other.
 	slowGain = 100 * time.Millisecond
+	// faultGain is how much larger a share of its answers an instance must fail
+	// than another one for requests to go to the other.
+	faultGain = 0.2
 	// maxPaces bounds the routes whose pace is known of an instance.
 	maxPaces = 64
 	// ejectFirst and ejectMax bound how long an instance is left out after
@@ -44,6 +47,7 @@
 	busy  int
 	limit int
 	pace  time.Duration
+	fault float64
 }
 
 // NewLoad returns a load: requests that run or wait, and how many may run.
@@ -59,6 +63,16 @@
 // Pace returns that time, or 0 if it is not known.
 func (l Load) Pace() time.Duration { return l.pace }
 
+// WithFault returns a copy with the share of its answers, 0 to 1, that the
+// backend server has lately failed.
+func (l Load) WithFault(share float64) Load {
+	l.fault = share
+	return l
+}
+
+// Fault returns that share.
+func (l Load) Fault() float64 { return l.fault }
+
 // Busy returns the number of requests that run or wait.
 func (l Load) Busy() int { return l.busy }
 
@@ -174,19 +188,29 @@
 	load float64
 	// pace is the time that a request takes there, or 0.
 	pace time.Duration
+	// fault is the share of its answers that it fails.
+	fault float64
 }
 
 // before says whether s is to be preferred to o: by load, unless both have room
-// and one is far slower.
+// and one is far worse.
 func (s state) before(o state) bool {
-	if max(s.load, o.load) < fullLoad && s.slower(o) != o.slower(s) {
-		return o.slower(s)
+	if max(s.load, o.load) < fullLoad && s.worse(o) != o.worse(s) {
+		return o.worse(s)
 	}
 	return s.load < o.load
 }
 
-// slower says whether s is so much slower than o that a request had better go
-// to o, also in another zone.
+// worse says whether a request had better go to o, also in another zone: s fails
+// far more of its answers, or fails no fewer and is far slower.
+func (s state) worse(o state) bool {
+	if s.fault-o.fault >= faultGain {
+		return true
+	}
+	return o.fault-s.fault < faultGain && s.slower(o)
+}
+
+// slower says whether s is far slower than o.
 func (s state) slower(o state) bool {
 	return o.pace > 0 && float64(s.pace) > slowPace*float64(o.pace) && s.pace-o.pace >= slowGain
 }
@@ -204,6 +228,7 @@
 		busy := p.inflight
 		if p.told.limit > 0 && now.Sub(p.toldAt) < loadFresh {
 			limit = p.told.limit
+			s.fault = p.told.fault
 			busy = max(busy, p.told.busy)
 		}
 		s.load = float64(busy) / float64(limit)
--- a/core/request/gtroute/route.go
+++ b/core/request/gtroute/route.go
@@ -207,7 +207,7 @@
 }
 
 // balance prefers the own zone and spills to the others when the better of
-// two own instances is full, ejected or far slower, and the other zones have
+// two own instances is full, ejected or far worse, and the other zones have
 // room, or much shorter queues.
 func (rt *Router) balance(list []gtmember.Record, route string) state {
 	near, far := rt.byZone(list)
@@ -220,7 +220,7 @@
 	}
 	other := rt.better(far, route)
 	switch {
-	case own.load < fullLoad && other.load < fullLoad && own.slower(other):
+	case own.load < fullLoad && other.load < fullLoad && own.worse(other):
 		return other
 	case own.load < fullLoad:
 		return own
--- a/io/request/gthop/beside.go
+++ b/io/request/gthop/beside.go
@@ -250,6 +250,8 @@
 		return gtadmit.Failed
 	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
 		return gtadmit.Shed
+	case failed(status):
+		return gtadmit.Faulty
 	default:
 		return gtadmit.Good
 	}
--- a/io/request/gthop/client_test.go
+++ b/io/request/gthop/client_test.go
@@ -151,7 +151,7 @@
 		g := gomega.NewWithT(t)
 		_, _, _, err := sendTo(t, network, func(w http.ResponseWriter, r *http.Request) {
 			w.Header().Set(HeaderID, r.Header.Get(HeaderID))
-			w.Header().Set(HeaderLoad, "3/4/20")
+			w.Header().Set(HeaderLoad, "3/4/20/0")
 			WriteError(w, gtkind.New(gtkind.Full, "no room"))
 		})
 		g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.Full))
--- a/io/request/gthop/head.go
+++ b/io/request/gthop/head.go
@@ -60,7 +60,7 @@
 	// HeaderCrashes holds the number of backend servers that are known to have
 	// crashed with the request in flight.
 	HeaderCrashes = "Gt-Crashes"
-	// HeaderLoad holds busy/limit/pace of the answering node's backend server.
+	// HeaderLoad holds busy/limit/pace/fault of the answering node's backend server.
 	HeaderLoad = "Gt-Load"
 	// HeaderKind holds the error kind, in answers that the system itself made.
 	HeaderKind = "Gt-Kind"
@@ -165,17 +165,18 @@
 		WithHeader(Clean(h)), nil
 }
 
-// encodeLoad writes a load as busy/limit/pace, the pace in milliseconds.
+// encodeLoad writes a load as busy/limit/pace/fault, the pace in milliseconds and
+// the fault in percent.
 func encodeLoad(l gtroute.Load) string {
-	return fmt.Sprintf("%d/%d/%d", l.Busy(), l.Limit(), l.Pace().Milliseconds())
+	return fmt.Sprintf("%d/%d/%d/%d", l.Busy(), l.Limit(), l.Pace().Milliseconds(), int(100*l.Fault()))
 }
 
 func decodeLoad(s string) gtroute.Load {
 	parts := strings.Split(s, "/")
-	if len(parts) != 3 {
+	if len(parts) != 4 {
 		return gtroute.Load{}
 	}
-	var n [3]int
+	var n [4]int
 	for i, p := range parts {
 		v, err := strconv.Atoi(p)
 		if err != nil || v < 0 {
@@ -183,8 +184,8 @@
 		}
 		n[i] = v
 	}
-	if n[1] < 1 || time.Duration(n[2]) > gtconfig.MaxTimeout/time.Millisecond {
+	if n[1] < 1 || n[3] > 100 || time.Duration(n[2]) > gtconfig.MaxTimeout/time.Millisecond {
 		return gtroute.Load{}
 	}
-	return gtroute.NewLoad(n[0], n[1]).WithPace(time.Duration(n[2]) * time.Millisecond)
+	return gtroute.NewLoad(n[0], n[1]).WithPace(time.Duration(n[2]) * time.Millisecond).WithFault(float64(n[3]) / 100)
 }
