--- a/core/request/gtadmit/gate.go
+++ b/core/request/gtadmit/gate.go
@@ -44,12 +44,7 @@
 	// serviceWeight is the weight of the newest answer in the mean latency.
 	serviceWeight = 0.1
 
-	// paceWeight is the weight of the newest answer in a route's pace.
-	paceWeight = 0.2
-	classes    = gtconfig.Classes
-	// coldBurst is how many requests a cold backend server may get at once, as
-	// a part of those that it bears in a second.
-	coldBurst = 0.25
+	classes = gtconfig.Classes
 )
 
 // Result is what came of a request that ran.
@@ -93,29 +88,6 @@
 	faults  gtroute.Faults
 }
 
-// cold bounds the rate of requests to a cold backend server.
-type cold struct {
-	rate   float64
-	until  time.Time
-	tokens float64
-	at     time.Time
-}
-
-// take takes a place for one more request, and says whether there is one.
-func (c *cold) take(now time.Time) bool {
-	if !now.Before(c.until) {
-		return true
-	}
-	most := max(1, coldBurst*c.rate)
-	c.tokens = min(most, c.tokens+c.rate*now.Sub(c.at).Seconds())
-	c.at = now
-	if c.tokens < 1 {
-		return false
-	}
-	c.tokens--
-	return true
-}
-
 // Ticket is one request's place at the gate.
 type Ticket struct {
 	gate     *Gate
@@ -303,24 +275,6 @@
 	}
 }
 
-// pace moves a route's pace. A request that failed says at least that an answer
-// takes as long.
-func (g *Gate) pace(route string, latency time.Duration, result Result) {
-	was, known := g.paces[route]
-	switch {
-	case result == Shed, result != Good && latency <= was:
-		return
-	case !known && len(g.paces) >= maxRoutes:
-		return
-	case !known:
-		was = latency
-	}
-	if g.paces == nil {
-		g.paces = map[string]time.Duration{}
-	}
-	g.paces[route] = was + time.Duration(paceWeight*float64(latency-was))
-}
-
 // follow moves the mean latency of a class; the first answer sets it.
 func (g *Gate) follow(class gtconfig.Class, latency time.Duration) {
 	if g.mean[class] == 0 {
@@ -353,22 +307,6 @@
 	g.paces, g.faults = nil, gtroute.Faults{}
 }
 
-// Chill bounds the rate of requests, a second, for as long as the backend server
-// stays cold. A rate of 0 lifts the bound.
-func (g *Gate) Chill(rate float64, left time.Duration) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := g.begin()
-	if rate <= 0 || left <= 0 {
-		g.cold.until = now
-		return
-	}
-	if !now.Before(g.cold.until) {
-		g.cold.tokens, g.cold.at = 1, now
-	}
-	g.cold.rate, g.cold.until = rate, now.Add(left)
-}
-
 // Resize sets the number of slots, and lifts the limit to it.
 func (g *Gate) Resize(slots int) {
 	g.mu.Lock()
