--- a/io/process/gtlog/log.go
+++ b/io/process/gtlog/log.go
@@ -53,7 +53,7 @@
 // Write takes a line. It never waits.
 func (o *Output) Write(line []byte) (int, error) { return o.ring.Write(line) }
 
-// Dropped returns the number of lines that are known to be lost.
+// Dropped returns the number of lines that were lost, or a few more.
 func (o *Output) Dropped() int64 { return o.dropped.Load() }
 
 // Close writes the lines that wait, as far as the reader takes them soon.
--- a/io/process/gtlog/log_test.go
+++ b/io/process/gtlog/log_test.go
@@ -48,7 +48,9 @@
 	_ = w.Close()
 	g.Eventually(read, time.Minute).Should(gomega.BeClosed())
 	g.Expect(text.String()).To(gomega.ContainSubstring("lines were dropped"))
-	g.Expect(strings.Count(text.String(), `"message":"line"`) + int(out.Dropped())).To(gomega.BeNumerically("<=", lines))
+	// A line that meets the reader in its place takes another one, and the first
+	// counts as dropped: the count may be too high, never too low.
+	g.Expect(strings.Count(text.String(), `"message":"line"`) + int(out.Dropped())).To(gomega.BeNumerically(">=", lines))
 }
 
 // A process whose output is stuck for good still ends.
