--- a/core/process/gtmember/table.go
+++ b/core/process/gtmember/table.go
@@ -70,20 +70,20 @@
 // Turn moves the node's own record to a state, in the next incarnation, and
 // returns it.
 func (t *Table) Turn(s State) Record {
-	t.selfMu.Lock()
-	defer t.selfMu.Unlock()
-	own := t.Self()
-	t.setSelf(own.WithState(s).WithIncarnation(own.incarnation + 1))
-	return t.Self()
+	return t.turn(func(own Record) Record { return own.WithState(s) })
 }
 
 // TurnBackend moves the node's own record to a state of a backend server of the
 // given version and number of slots, in the next incarnation, and returns it.
 func (t *Table) TurnBackend(version string, slots int, s State) Record {
+	return t.turn(func(own Record) Record { return own.WithBackend(own.service, version, slots).WithState(s) })
+}
+
+func (t *Table) turn(change func(own Record) Record) Record {
 	t.selfMu.Lock()
 	defer t.selfMu.Unlock()
 	own := t.Self()
-	t.setSelf(own.WithBackend(own.service, version, slots).WithState(s).WithIncarnation(own.incarnation + 1))
+	t.setSelf(change(own).WithIncarnation(own.incarnation + 1))
 	return t.Self()
 }
 
--- a/core/request/gtroute/load.go
+++ b/core/request/gtroute/load.go
@@ -210,6 +210,9 @@
 	return o.fault-s.fault < faultGain && s.slower(o)
 }
 
+// suspect says whether s could be worse than any other at all.
+func (s state) suspect() bool { return s.fault >= faultGain || s.pace >= slowGain }
+
 // slower says whether s is far slower than o.
 func (s state) slower(o state) bool {
 	return o.pace > 0 && float64(s.pace) > slowPace*float64(o.pace) && s.pace-o.pace >= slowGain
--- a/core/request/gtroute/route.go
+++ b/core/request/gtroute/route.go
@@ -215,7 +215,7 @@
 		return rt.better(far, route)
 	}
 	own := rt.better(near, route)
-	if len(far) == 0 {
+	if len(far) == 0 || own.load < fullLoad && !own.suspect() {
 		return own
 	}
 	other := rt.better(far, route)
--- a/io/request/gthop/dialect.go
+++ b/io/request/gthop/dialect.go
@@ -26,17 +26,12 @@
 	Refuse func(w http.ResponseWriter, err error)
 }
 
-func (d Dialect) name(r *http.Request) string {
-	if d.Name == nil {
-		return ""
-	}
-	return d.Name(r)
-}
-
 // ID returns the caller's id of a request, or fallback.
 func (d Dialect) ID(r *http.Request, fallback func() string) string {
-	if id := d.name(r); id != "" {
-		return id
+	if d.Name != nil {
+		if id := d.Name(r); id != "" {
+			return id
+		}
 	}
 	return fallback()
 }
