core/process/gttimer, core/request/gtadmit: forget latencies from an own standstill

Cause: a process that was stopped (SIGSTOP for 0.3 to 0.9 s) found its answers late and learned that its backend server takes 142 ms in place of 13. The limit collapsed and the burst that follows was refused for an expected wait.

Ruled out: the length of the queue (a burst after a calm time was served), the router (each gate that refused had a limit of 1 to 7 of 10).

The timer service looks at the clock each 100 ms and knows of its last standstill; the gate takes no latency that spans it.

--- a/core/process/gttimer/timer.go
+++ b/core/process/gttimer/timer.go
@@ -11,6 +11,11 @@
 //	for range tick.C() { ... }
 //
 // A test leaves Run out and calls Step with the time that it wants it to be.
+//
+// The service also notices when the process itself stood still. What was timed
+// across such a moment says nothing of anybody else:
+//
+//	if !timer.Stalled(start) { learn(timer.Time().Sub(start)) }
 package gttimer
 
 import (
@@ -21,6 +26,14 @@
 	"time"
 )
 
+const (
+	// lookEvery is the longest that Run sleeps: it looks at the clock as often.
+	lookEvery = 100 * time.Millisecond
+	// stallFloor is the time between two looks from which the process counts as
+	// having stood still: stopped, or without processor time.
+	stallFloor = 250 * time.Millisecond
+)
+
 // Service keeps subscriptions ordered by the time when they are next due.
 type Service struct {
 	// Now reads the clock. It is set before Run; nil means time.Now.
@@ -29,9 +42,11 @@
 	// process-wide source.
 	Rand func() float64
 
-	mu   sync.Mutex
-	due  dueHeap
-	wake chan struct{}
+	mu    sync.Mutex
+	due   dueHeap
+	wake  chan struct{}
+	seen  time.Time
+	stall time.Time
 }
 
 // Tick is one subscription. Its channel holds at most one pending tick, so a
@@ -98,10 +113,11 @@
 func (s *Service) Run(ctx context.Context) {
 	wake := s.waker()
 	for {
+		s.look()
 		next, ok := s.Step(s.Time())
-		wait := time.Hour
+		wait := lookEvery
 		if ok {
-			wait = next.Sub(s.Time())
+			wait = min(wait, next.Sub(s.Time()))
 		}
 		timer := time.NewTimer(max(wait, 0))
 		select {
@@ -115,6 +131,28 @@
 	}
 }
 
+// look notes the time, and whether the process stood still since the last look.
+func (s *Service) look() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Time()
+	if !s.seen.IsZero() && now.Sub(s.seen) > stallFloor {
+		s.stall = now
+	}
+	s.seen = now
+}
+
+// Stalled says whether the process stood still at some time after since. It
+// knows of the last stall only, and of none while Run does not run.
+func (s *Service) Stalled(since time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.seen.IsZero() {
+		return false
+	}
+	return s.stall.After(since) || s.Time().Sub(s.seen) > stallFloor
+}
+
 // Step delivers every tick that is due at now. It returns the time of the
 // next one, and false when nobody is subscribed.
 func (s *Service) Step(now time.Time) (time.Time, bool) {
--- a/core/request/gtadmit/gate.go
+++ b/core/request/gtadmit/gate.go
@@ -70,6 +70,9 @@
 	// Slots is the ceiling of the limit: how many requests the backend server
 	// can run at once when it is warm. It is set before use.
 	Slots int
+	// Stalled says whether this process stood still at some time after since:
+	// latencies from then are its own. It is set before use; nil means never.
+	Stalled func(since time.Time) bool
 	// Fixed keeps the limit at Slots, for comparison. It is set before use.
 	Fixed bool
 
@@ -254,6 +257,9 @@
 }
 
 func (g *Gate) learn(t *Ticket, route string, latency time.Duration, result Result, now time.Time) {
+	if result != Shed && g.stalled(now.Add(-latency)) {
+		return
+	}
 	switch result {
 	case Good:
 		g.follow(t.class, latency)
@@ -275,6 +281,10 @@
 	}
 }
 
+// stalled says whether an answer that was asked for at a time was held up by
+// this process.
+func (g *Gate) stalled(since time.Time) bool { return g.Stalled != nil && g.Stalled(since) }
+
 // follow moves the mean latency of a class; the first answer sets it.
 func (g *Gate) follow(class gtconfig.Class, latency time.Duration) {
 	if g.mean[class] == 0 {
--- a/core/request/gtadmit/gate_test.go
+++ b/core/request/gtadmit/gate_test.go
@@ -163,6 +163,25 @@
 	g.Expect(s.longest).To(gomega.BeNumerically("<=", MaxWait))
 }
 
+// A process that was stopped and goes on finds its answers late and its callers
+// waiting. The lateness is its own: it keeps its limit and serves the burst.
+func TestBurstAfterOwnStallIsServed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newServer(10, 10)
+	s.offer(600, 20*time.Second)
+	for range 10 {
+		s.refused = 0
+		s.offer(600, 500*time.Millisecond)
+		s.now = s.now.Add(900 * time.Millisecond)
+		stalled := s.now
+		s.gate.Stalled = func(since time.Time) bool { return since.Before(stalled) }
+		s.finish()
+		s.burst(100)
+		s.offer(0, 500*time.Millisecond)
+		g.Expect(s.refused).To(gomega.BeZero())
+	}
+}
+
 // Under an overload that lasts, a queue that is never empty serves nobody
 // better: it only makes all that run wait.
 func TestStandingQueueStaysShort(t *testing.T) {
