io/request/gthop: carry what a hop adds in one field

Ruled out: compressing bodies (they are as good as random).

Gt-Call and Gt-Answer hold the facts in order; the id is left out where the caller's own field holds it, fields that are set anew for the backend server are not carried, a refusal is its detail alone. A panic now is answered in the caller's dialect too. A request to a hop without its facts is malformed: 400, not 503; the check now asks for both cases.

--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -262,7 +262,7 @@
 		Dialect: n.Dialect, Ran: n.logRun,
 	}
 	n.hop = &gthop.Handler{Beside: n.beside, Timer: n.timer, Body: cfg.Limit.Body, Panicked: n.panicked}
-	client := &gthop.Client{Now: now, Pool: n.hops, Buffer: cfg.Limit.Buffer, Trace: n.tracer.Start}
+	client := &gthop.Client{Now: now, Pool: n.hops, Dialect: n.Dialect, Buffer: cfg.Limit.Buffer, Trace: n.tracer.Start}
 	n.edge = &gtedge.Edge{
 		Now: now, Self: cfg.Node.Instance, ID: cfg.Node.Instance + "-" + strconv.FormatInt(n.started.UnixMilli(), 36) + "-",
 		Body: cfg.Limit.Body, Hops: cfg.Limit.Hops, Holder: n.holder, Router: n.router, Members: n.table.Service,
--- a/io/request/gtedge/edge.go
+++ b/io/request/gtedge/edge.go
@@ -100,7 +100,7 @@
 func (e *Edge) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.inflight.Add(1)
 	defer e.inflight.Add(-1)
-	defer gthop.Recover(w, e.Panicked)
+	defer gthop.Recover(w, e.Panicked, e.Dialect.Fail)
 	start := e.Now()
 	ctx, end := e.Trace(r.Context(), "edge", r.Header)
 	c, a, err := e.serve(ctx, r)
--- a/io/request/gthop/client.go
+++ b/io/request/gthop/client.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"maps"
 	"net/http"
 	"time"
@@ -21,6 +20,8 @@
 	Now func() time.Time
 	// Pool holds the connections to other nodes.
 	Pool *gtpool.Pool
+	// Dialect is how callers are spoken to.
+	Dialect Dialect
 	// Buffer is the size up to which an answer is held until it is whole.
 	Buffer int
 	// Trace starts a span and returns the function that ends it.
@@ -37,7 +38,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline())
 	ctx, end := cl.Trace(ctx, "hop", req.Header)
-	encodeCall(req.Header, c, to.Instance(), cl.Now())
+	cl.Dialect.encodeCall(req, c, to.Instance(), cl.Now())
 	finish := func(err error) {
 		end(err)
 		cancel()
@@ -51,7 +52,7 @@
 }
 
 // hopRoom is the number of fields that a hop commonly adds to a call's header.
-const hopRoom = 8
+const hopRoom = 4
 
 // newRequest returns the request of a call to an address. Its header is a copy
 // that shares the values.
@@ -71,32 +72,22 @@
 }
 
 func (cl *Client) receive(resp *http.Response, c gtcall.Call, to gtmember.Record, finish func(error)) (gtcall.Answer, error) {
-	if got := resp.Header.Get(HeaderID); got != c.ID() {
-		err := gtkind.New(gtkind.Crossed, "answer of %s has id %.40q, expected %q", to.Instance(), got, c.ID())
+	told := decodeReply(resp.Header.Get(HeaderAnswer))
+	if told.id != c.ID() {
+		err := gtkind.New(gtkind.Crossed, "answer of %s has id %.40q, expected %q", to.Instance(), told.id, c.ID())
 		gtpool.Discard(resp)
 		finish(err)
 		return gtcall.Answer{}, err
 	}
-	load := decodeLoad(resp.Header.Get(HeaderLoad))
-	kind := resp.Header.Get(HeaderKind)
 	a, err := readAnswer(resp, cl.Buffer, finish)
 	if err != nil {
-		return gtcall.Answer{}.WithLoad(load), err
+		return gtcall.Answer{}.WithLoad(told.load), err
 	}
-	if kind == "" {
-		return a.WithLoad(load), nil
+	if told.kind == gtkind.None {
+		return a.WithLoad(told.load), nil
 	}
 	if a.Stream() != nil {
 		a.Stream().Close()
 	}
-	return gtcall.Answer{}.WithLoad(load), gtkind.New(gtkind.Parse(kind), "instance %s: %s", to.Instance(), detail(a.Body()))
-}
-
-// detail returns the detail of a problem's body.
-func detail(body []byte) string {
-	var p Problem
-	if json.Unmarshal(body, &p) != nil || p.Detail == "" {
-		return "no detail"
-	}
-	return p.Detail
+	return gtcall.Answer{}.WithLoad(told.load), gtkind.New(told.kind, "instance %s: %s", to.Instance(), a.Body())
 }
--- a/io/request/gthop/client_test.go
+++ b/io/request/gthop/client_test.go
@@ -17,6 +17,7 @@
 	"godwittide/core/request/gtcall"
 	"godwittide/core/request/gtkind"
 	"godwittide/core/request/gtonce"
+	"godwittide/core/request/gtroute"
 	"godwittide/core/version/gtevidence"
 	"godwittide/io/connection/gtpipe"
 	"godwittide/io/connection/gtpool"
@@ -61,7 +62,7 @@
 		g := gomega.NewWithT(t)
 		for _, id := range []string{"another", ""} {
 			a, pool, addr, err := sendTo(t, network, func(w http.ResponseWriter, _ *http.Request) {
-				w.Header().Set(HeaderID, id)
+				w.Header().Set(HeaderAnswer, encodeReply(reply{id: id}))
 				_, _ = io.WriteString(w, "somebody else's answer")
 			})
 			g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.Crossed))
@@ -77,8 +78,8 @@
 	gtclock.Run(t, func(t *testing.T, network *gtpipe.Network) {
 		g := gomega.NewWithT(t)
 		for _, size := range []int{100, 100000} {
-			a, _, _, err := sendTo(t, network, func(w http.ResponseWriter, r *http.Request) {
-				w.Header().Set(HeaderID, r.Header.Get(HeaderID))
+			a, _, _, err := sendTo(t, network, func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(HeaderAnswer, encodeReply(reply{id: "mine"}))
 				_, _ = io.WriteString(w, strings.Repeat("x", size))
 				w.(http.Flusher).Flush()
 				panic(http.ErrAbortHandler)
@@ -103,8 +104,8 @@
 		g := gomega.NewWithT(t)
 		for _, size := range []int{0, 1, 500, 1000} {
 			for _, chunked := range []bool{false, true} {
-				a, pool, addr, err := sendTo(t, network, func(w http.ResponseWriter, r *http.Request) {
-					w.Header().Set(HeaderID, r.Header.Get(HeaderID))
+				a, pool, addr, err := sendTo(t, network, func(w http.ResponseWriter, _ *http.Request) {
+					w.Header().Set(HeaderAnswer, encodeReply(reply{id: "mine"}))
 					if !chunked {
 						w.Header().Set("Content-Length", strconv.Itoa(size))
 					}
@@ -149,10 +150,10 @@
 func TestRefusalKeepsItsKind(t *testing.T) {
 	gtclock.Run(t, func(t *testing.T, network *gtpipe.Network) {
 		g := gomega.NewWithT(t)
-		_, _, _, err := sendTo(t, network, func(w http.ResponseWriter, r *http.Request) {
-			w.Header().Set(HeaderID, r.Header.Get(HeaderID))
-			w.Header().Set(HeaderLoad, "3/4/20/0")
-			WriteError(w, gtkind.New(gtkind.Full, "no room"))
+		_, _, _, err := sendTo(t, network, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(HeaderAnswer, encodeReply(reply{id: "mine", kind: gtkind.Full, load: gtroute.NewLoad(3, 4)}))
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_, _ = io.WriteString(w, "no room")
 		})
 		g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.Full))
 		g.Expect(gtkind.Detail(err)).To(gomega.ContainSubstring("no room"))
--- a/io/request/gthop/dialect.go
+++ b/io/request/gthop/dialect.go
@@ -16,6 +16,8 @@
 	// Left returns the time that the caller still waits, and false if it does
 	// not say.
 	Left func(r *http.Request) (time.Duration, bool)
+	// Fresh are the fields that Dress sets anew, so that no hop carries them.
+	Fresh []string
 	// Dress sets the header fields of a request to the backend server, which has
 	// the given time left.
 	Dress func(h http.Header, c gtcall.Call, left time.Duration)
@@ -75,7 +77,10 @@
 	h.Set(HeaderID, c.ID())
 	h.Set(HeaderLeft, strconv.FormatInt(left.Milliseconds(), 10))
 	h.Set(HeaderHops, strconv.Itoa(c.Hops()+1))
-	setFlag(h, HeaderRetry, c.Nested())
+	h.Del(HeaderRetry)
+	if c.Nested() {
+		h.Set(HeaderRetry, "1")
+	}
 }
 
 func (d Dialect) check(c gtcall.Call, status int, h http.Header) error {
--- /dev/null
+++ b/io/request/gthop/facts_test.go
@@ -0,0 +1,135 @@
+package gthop
+
+import (
+	"bufio"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"godwittide/core/request/gtcall"
+	"godwittide/core/request/gtkind"
+	"godwittide/core/request/gtroute"
+	"godwittide/core/version/gtconfig"
+)
+
+// callers names requests as a platform's callers do.
+var callers = Dialect{
+	Name:  func(r *http.Request) string { return r.Header.Get("Caller-Id") },
+	Fresh: []string{"Caller-Left"},
+}
+
+func TestCallsSurviveTheHop(t *testing.T) {
+	now := time.Unix(1000, 0)
+	rapid.Check(t, func(t *rapid.T) {
+		text := rapid.StringMatching(`[a-z /%\-]{1,12}`)
+		yes := rapid.Bool()
+		c := gtcall.New(text.Draw(t, "id"), "POST", "/x?y=1").
+			WithRoute(text.Draw(t, "service"), text.Draw(t, "route"), rapid.SampledFrom([]gtconfig.Class{gtconfig.Fast, gtconfig.Normal, gtconfig.Normal + 3}).Draw(t, "class")).
+			WithIdempotent(yes.Draw(t, "idempotent")).WithKey("k", yes.Draw(t, "resend"), yes.Draw(t, "again")).
+			WithNested(yes.Draw(t, "nested")).WithHops(rapid.IntRange(0, 20).Draw(t, "hops")).WithCrashes(rapid.IntRange(0, 2).Draw(t, "crashes")).
+			WithDeadline(now.Add(250 * time.Millisecond)).WithBody([]byte("b"))
+		if yes.Draw(t, "find") {
+			c = c.WithFind()
+		}
+		r, err := http.NewRequest("POST", "http://h/x?y=1", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Header.Set(HeaderKey, "k")
+		r.Header.Set("Caller-Id", rapid.SampledFrom([]string{c.ID(), "another", ""}).Draw(t, "caller's id"))
+		to := text.Draw(t, "to")
+		callers.encodeCall(r, c, to, now)
+		f, err := callers.readFacts(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := decodeCall(r, f, []byte("b"), now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		gomega.NewWithT(t).Expect(got.WithHeader(nil)).To(gomega.Equal(c.WithHeader(nil)))
+		gomega.NewWithT(t).Expect(f[factTo]).To(gomega.Equal(to))
+	})
+}
+
+func TestHopCarriesWhatIsTheCallers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := gtcall.New("id-1", "GET", "/").WithRoute("s", "r", gtconfig.Normal).WithDeadline(time.Unix(1001, 0))
+	r, err := http.NewRequest("GET", "http://h/", nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	for _, f := range []string{"X-Private", "X-Public", "Caller-Left", HeaderLeft, HeaderHops} {
+		r.Header.Set(f, "2")
+	}
+	r.Header.Set("Connection", "X-Private")
+	callers.encodeCall(r, c, "i", time.Unix(1000, 0))
+	f, err := callers.readFacts(r)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	got, err := decodeCall(r, f, nil, time.Unix(1000, 0))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(got.Header()).To(gomega.Equal(http.Header{"X-Public": {"2"}}))
+}
+
+// What a hop adds is paid for with each call between availability zones.
+func TestHopAddsLittle(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := gtcall.New("a6ef38844d07e824", "GET", "/").WithRoute("catalogue", "r-xjh497g", gtconfig.Normal+3).
+		WithIdempotent(false).WithDeadline(time.Unix(1000, 0).Add(596 * time.Millisecond))
+	r, err := http.NewRequest("GET", "http://h/", nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	r.Header.Set("Caller-Id", c.ID())
+	callers.encodeCall(r, c, "sidecar-norte-b-3", time.Unix(1000, 0))
+	g.Expect(len(r.Header.Get(HeaderCall))).To(gomega.BeNumerically("<", 64))
+	g.Expect(len(encodeReply(reply{id: c.ID(), load: gtroute.NewLoad(16, 12).WithPace(88 * time.Millisecond)}))).To(gomega.BeNumerically("<", 32))
+}
+
+func TestRepliesSurviveTheHop(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, k := range gtkind.All() {
+		r := reply{id: "a/b %", load: gtroute.NewLoad(3, 4).WithPace(20 * time.Millisecond).WithFault(0.25), kind: k}
+		g.Expect(decodeReply(encodeReply(r))).To(gomega.Equal(r))
+	}
+	for _, s := range []string{"", "id", "id/1/2/3/4", "id/1/2/3/4/5/6", "%zz/1/2/3/4/"} {
+		g.Expect(decodeReply(s)).To(gomega.Equal(reply{}), s)
+	}
+	for _, s := range []string{"id/-1/2/3/4/", "id/1/0/3/4/", "id/1/2/3/101/", "id/1/2/999999999/4/", "id/x/2/3/4/"} {
+		g.Expect(decodeReply(s)).To(gomega.Equal(reply{id: "id"}), s)
+	}
+}
+
+func FuzzDecodeCall(f *testing.F) {
+	f.Add("POST /x HTTP/1.1\r\nHost: a\r\nGt-Call: 1/i/100/o/fast/s/r/0/0\r\n\r\n")
+	f.Add("GET / HTTP/1.1\r\nHost: a\r\nGt-Call: 1/i/-9223372036854775808//normal/s/r/x/0\r\n\r\n")
+	f.Add("GET / HTTP/1.1\r\nHost: a\r\nCaller-Id: 7\r\nGt-Call: /i/1//normal/s/r/0/0\r\n\r\n")
+	f.Add("GET / HTTP/1.1\r\nHost: a\r\nConnection: Gt-Call, , x\r\nGt-Call: %/////////\r\n\r\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(text)))
+		if err != nil {
+			return
+		}
+		now := time.Unix(1000, 0)
+		facts, err := callers.readFacts(r)
+		if err != nil {
+			return
+		}
+		c, err := decodeCall(r, facts, nil, now)
+		if err == nil && (c.ID() == "" || c.Service() == "" || c.Deadline().Sub(now) > gtconfig.MaxTimeout) {
+			t.Fatalf("call %+v", c)
+		}
+	})
+}
+
+func FuzzDecodeReply(f *testing.F) {
+	f.Add("id/1/2/3/4/full")
+	f.Add("%zz/1/2/3/4/")
+	f.Add("id/9223372036854775807/1/9223372036854775807/100/")
+	f.Fuzz(func(t *testing.T, text string) {
+		r := decodeReply(text)
+		if r.load.Limit() < 0 || r.load.Busy() < 0 || r.load.Pace() > gtconfig.MaxTimeout {
+			t.Fatalf("reply %+v", r)
+		}
+	})
+}
--- a/io/request/gthop/handler.go
+++ b/io/request/gthop/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,19 +44,41 @@
 	}
 	h.inflight.Add(1)
 	defer h.inflight.Add(-1)
-	w.Header().Set(HeaderID, r.Header.Get(HeaderID))
-	defer Recover(w, h.Panicked)
-	a, err := h.serve(w, r)
-	w.Header().Set(HeaderLoad, encodeLoad(h.Beside.Gate.Load(r.Header.Get(HeaderRoute))))
+	w.Header()["Date"] = nil // the backend server's own is passed on
+	facts, err := h.Beside.Dialect.readFacts(r)
+	fail := func(w http.ResponseWriter, err error) { h.refuse(w, facts, err) }
+	defer Recover(w, h.Panicked, fail)
 	if err != nil {
-		WriteError(w, err)
+		fail(w, err)
 		return
 	}
+	a, err := h.serve(w, r, facts)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	w.Header().Set(HeaderAnswer, encodeReply(h.reply(facts, gtkind.None)))
 	WriteAnswer(w, a)
 }
 
-// Recover ends a request whose thread panicked. It is to be deferred.
-func Recover(w http.ResponseWriter, panicked func(any)) {
+func (h *Handler) reply(f [facts]string, k gtkind.Kind) reply {
+	return reply{id: f[factID], load: h.Beside.Gate.Load(f[factRoute]), kind: k}
+}
+
+// refuse answers with an error; its detail is the body.
+func (h *Handler) refuse(w http.ResponseWriter, f [facts]string, err error) {
+	k := gtkind.Of(err)
+	detail := gtkind.Detail(err)
+	w.Header().Set(HeaderAnswer, encodeReply(h.reply(f, k)))
+	w.Header()["Content-Type"] = nil
+	w.Header().Set("Content-Length", strconv.Itoa(len(detail)))
+	w.WriteHeader(k.Row().Status())
+	_, _ = io.WriteString(w, detail)
+}
+
+// Recover ends a request whose thread panicked: fail answers it. It is to be
+// deferred.
+func Recover(w http.ResponseWriter, panicked func(any), fail func(http.ResponseWriter, error)) {
 	v := recover()
 	if v == nil {
 		return
@@ -64,11 +87,11 @@
 		panic(v)
 	}
 	panicked(v)
-	WriteError(w, gtkind.New(gtkind.Internal, "the node failed to handle the request"))
+	fail(w, gtkind.New(gtkind.Internal, "the node failed to handle the request"))
 }
 
-func (h *Handler) serve(w http.ResponseWriter, r *http.Request) (gtcall.Answer, error) {
-	if to, self := r.Header.Get(HeaderTo), h.Beside.Self().Instance(); to != self {
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request, f [facts]string) (gtcall.Answer, error) {
+	if to, self := f[factTo], h.Beside.Self().Instance(); to != self {
 		return gtcall.Answer{}, gtkind.New(gtkind.Refused, "this is instance %s, not %.64q", self, to)
 	}
 	body, err := ReadBody(r, h.Body)
@@ -76,7 +99,7 @@
 		return gtcall.Answer{}, err
 	}
 	now := h.Timer.Time()
-	c, err := decodeCall(r, body, now)
+	c, err := decodeCall(r, f, body, now)
 	if err != nil {
 		return gtcall.Answer{}, err
 	}
--- a/io/request/gthop/head_test.go
+++ b/io/request/gthop/head_test.go
@@ -1,40 +1,18 @@
 package gthop
 
 import (
-	"bufio"
 	"maps"
 	"net/http"
 	"slices"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
-	"godwittide/core/request/gtcall"
 	"godwittide/core/request/gtkind"
-	"godwittide/core/version/gtconfig"
 )
 
-func TestCallsSurviveTheHop(t *testing.T) {
-	g := gomega.NewWithT(t)
-	now := time.Unix(1000, 0)
-	c := gtcall.New("id-1", "POST", "/x?y=1").WithRoute("s", "r", gtconfig.Fast).WithIdempotent(false).WithKey("k", true, true).
-		WithNested(true).WithHops(3).WithCrashes(1).WithDeadline(now.Add(250 * time.Millisecond)).WithFind().WithBody([]byte("b"))
-	r, _ := http.NewRequest("POST", "http://h/x?y=1", nil)
-	r.Header.Set("Connection", "X-Private")
-	r.Header.Set("X-Private", "1")
-	r.Header.Set("X-Public", "2")
-	encodeCall(r.Header, c, "i", now)
-	got, err := decodeCall(r, []byte("b"), now)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect(got.WithHeader(nil)).To(gomega.Equal(c.WithHeader(nil)))
-	g.Expect(got.Header()).To(gomega.HaveKey("X-Public"))
-	g.Expect(got.Header()).NotTo(gomega.HaveKey("X-Private"))
-	g.Expect(got.Header()).NotTo(gomega.HaveKey("Connection"))
-}
-
 func TestKindsRowsAreComplete(t *testing.T) {
 	g := gomega.NewWithT(t)
 	for _, k := range gtkind.All() {
@@ -78,21 +56,3 @@
 		}
 	})
 }
-
-func FuzzDecodeCall(f *testing.F) {
-	f.Add("POST /x HTTP/1.1\r\nHost: a\r\nGt-Id: 1\r\nGt-Service: s\r\nGt-Left: 100\r\n\r\n")
-	f.Add("GET / HTTP/1.1\r\nHost: a\r\nGt-Id: 1\r\nGt-Service: s\r\nGt-Left: -9223372036854775808\r\nGt-Hops: x\r\n\r\n")
-	f.Add("GET / HTTP/1.1\r\nHost: a\r\nConnection: Gt-Id, , x\r\n\r\n")
-	f.Fuzz(func(t *testing.T, text string) {
-		r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(text)))
-		if err != nil {
-			return
-		}
-		now := time.Unix(1000, 0)
-		c, err := decodeCall(r, nil, now)
-		if err == nil && (c.ID() == "" || c.Deadline().Sub(now) > gtconfig.MaxTimeout) {
-			t.Fatalf("call %+v", c)
-		}
-		_ = decodeLoad(r.Header.Get(HeaderLoad))
-	})
-}
--- a/test/mesh/request_test.go
+++ b/test/mesh/request_test.go
@@ -203,7 +203,14 @@
 		} {
 			gomega.Expect(raw(edge, text)).To(gomega.HavePrefix("HTTP/1.1 "+want), "%.60q", text)
 		}
-		gomega.Expect(raw(hop, "GET /lending/x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")).To(gomega.HavePrefix("HTTP/1.1 503"))
+		for call, want := range map[string]string{
+			"":                                    "400",
+			"1/another/100//normal/lending/r/":    "400",
+			"1/another/100//normal/lending/r/0/0": "503",
+		} {
+			text := "GET /lending/x HTTP/1.1\r\nHost: a\r\nGt-Call: " + call + "\r\nConnection: close\r\n\r\n"
+			gomega.Expect(raw(hop, text)).To(gomega.HavePrefix("HTTP/1.1 "+want), call)
+		}
 		for _, text := range []string{"\xff\xff\xff\xff garbage", "\x00\x00\x00\x02{}", "\x00\x00\x00\x05hello", "GET / HTTP/1.1\r\n\r\n"} {
 			raw(peer, text)
 		}
