core/request/gtroute: send a refused request on to a queue that has a place

Cause: in a burst (six servers, 100 requests within a millisecond of a stop) the first attempt met a full queue, and the next was not made, as every other server known had its limit in use; their queues had places.

A refused request now goes on to a server with a load below 1.5, up to which queues have room. The spec that forbade it from 1.0 asked for less than it said ("that may have room"): it now asks for the next attempt at 1.4 and for none at 1.5.

Ruled out, what is left: servers that have just started, whose limit is 1 until answers raise it, refuse what would wait more than 250 ms.

--- a/core/request/gtroute/load.go
+++ b/core/request/gtroute/load.go
@@ -34,6 +34,8 @@
 	ejectedLoad = 1000
 	// fullLoad is the load of an instance whose limit is in use.
 	fullLoad = 1
+	// queueLoad is the load from which an instance has no place in its queue.
+	queueLoad = 1.5
 	// spillGain is how much lower a load in another zone must be, where both are
 	// full, for a request to leave its own.
 	spillGain = 0.5
--- a/core/request/gtroute/load_test.go
+++ b/core/request/gtroute/load_test.go
@@ -99,7 +99,8 @@
 	g.Expect(crossings(func() int { return 30 })).To(gomega.BeZero())
 }
 
-// After a refusal a request goes on only to a server that may have room.
+// After a refusal a request goes on only to a server that may have room, if
+// only in its queue.
 func TestRefusedRequestIsNotSentOnToFullServers(t *testing.T) {
 	g := gomega.NewWithT(t)
 	list := []gtmember.Record{
@@ -121,6 +122,10 @@
 	rt.Begin("b1")
 	rt.End("b1", "r", gtkind.Full, NewLoad(14, 10))
 	_, err = rt.Pick(cfg, q)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	rt.Begin("b1")
+	rt.End("b1", "r", gtkind.Full, NewLoad(15, 10))
+	_, err = rt.Pick(cfg, q)
 	g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.Full))
 }
 
--- a/core/request/gtroute/route.go
+++ b/core/request/gtroute/route.go
@@ -89,7 +89,7 @@
 			return rt.home(list, q), nil
 		}
 		best := rt.balance(list, q.route)
-		if len(q.tried) > 0 && best.load >= fullLoad {
+		if len(q.tried) > 0 && best.load >= queueLoad {
 			return gtmember.Record{}, gtkind.New(gtkind.Full, "every other backend server of %q that is known is full", q.service)
 		}
 		return best.r, nil
