--- a/cmd/godwittide/node.go
+++ b/cmd/godwittide/node.go
@@ -34,6 +34,7 @@
 		_, err := fmt.Fprint(env.Out(), gtsettings.Sample)
 		return err
 	}
+	hangups := catchHangups()
 	cfg, err := gtsettings.Load(c.Settings)
 	if err != nil {
 		return err
@@ -48,6 +49,7 @@
 	if err != nil {
 		return err
 	}
+	go hangups.log(env.Context(), log)
 	gtnode.TuneMemory(0)
 	node := &gtnode.Node{Settings: cfg, Log: log}
 	node.Open()
--- a/cmd/godwittide/sidecar.go
+++ b/cmd/godwittide/sidecar.go
@@ -2,8 +2,6 @@
 
 import (
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/joomcode/errorx"
 	"github.com/rs/zerolog"
@@ -29,9 +27,7 @@
 
 // Run runs the node until it is asked to stop.
 func (c *sidecarCommand) Run(env gtcommand.Env) error {
-	// The platform signals a changed settings file. What changes in it is read
-	// at the next start.
-	signal.Ignore(syscall.SIGHUP)
+	hangups := catchHangups()
 	path := os.Getenv(gtplatform.BootVariable)
 	if path == "" {
 		return errorx.IllegalArgument.New("%s is not set; it names the platform's settings file", gtplatform.BootVariable)
@@ -48,5 +44,6 @@
 	out := gtlog.Open(os.Stdout)
 	defer out.Close()
 	log := zerolog.New(out).Level(level).With().Timestamp().Str("node", boot.Settings().Node.Instance).Logger()
+	go hangups.log(env.Context(), log)
 	return (&gtplatform.Adapter{Boot: boot, Log: log}).Run(env.Context())
 }
--- a/io/process/gtlab/load.go
+++ b/io/process/gtlab/load.go
@@ -61,6 +61,8 @@
 	// Body is the request's body; Right says whether the answer echoes it.
 	Body  string
 	Right bool
+	// Err is why no whole answer came.
+	Err error
 }
 
 // OK says whether a backend server answered with success, and to this request.
@@ -143,12 +145,12 @@
 	}
 	resp, err := l.client.Do(req)
 	if err != nil {
-		r.Took = time.Since(r.At)
+		r.Took, r.Err = time.Since(r.At), err
 		return r
 	}
 	defer resp.Body.Close()
 	answer, err := io.ReadAll(resp.Body)
-	r.Took = time.Since(r.At)
+	r.Took, r.Err = time.Since(r.At), err
 	if err != nil {
 		return r
 	}
--- /dev/null
+++ b/io/process/gtnode/idle.go
@@ -0,0 +1,67 @@
+package gtnode
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// idleConns knows the connections of a server on which no request runs. A
+// server that closes one in the moment in which a request arrives cuts that off,
+// so those that hold bytes are left to be served.
+type idleConns struct {
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+}
+
+// follow notes the state of a connection, as http.Server tells it.
+func (i *idleConns) follow(c net.Conn, state http.ConnState) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.conns == nil {
+		i.conns = map[net.Conn]bool{}
+	}
+	if state == http.StateIdle {
+		i.conns[c] = true
+		return
+	}
+	delete(i.conns, c)
+}
+
+// close closes the connections that hold no bytes, and returns how many it has
+// left open.
+func (i *idleConns) close() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	left := 0
+	for c := range i.conns {
+		if pending(c) {
+			left++
+			continue
+		}
+		_ = c.Close()
+		delete(i.conns, c)
+	}
+	return left
+}
+
+// pending says whether bytes have come in that nobody has read.
+func pending(c net.Conn) bool {
+	if b, ok := c.(*boundConn); ok {
+		c = b.Conn
+	}
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	held := 0
+	err = raw.Control(func(fd uintptr) { held, err = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
+	return err == nil && held > 0
+}
--- /dev/null
+++ b/io/process/gtnode/idle_test.go
@@ -0,0 +1,51 @@
+package gtnode
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/onsi/gomega"
+)
+
+// connect returns both ends of a connection.
+func connect(t *testing.T) (near, far net.Conn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	if near, err = net.Dial("tcp", ln.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	if far, err = ln.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _, _ = near.Close(), far.Close() })
+	return near, far
+}
+
+// A node that stops closes the connections that nobody uses, but not one on
+// which a request has just arrived.
+func TestStopLeavesRequestsThatHaveArrived(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var idle idleConns
+	quiet, quietFar := connect(t)
+	used, usedFar := connect(t)
+	for _, c := range []net.Conn{quietFar, usedFar} {
+		idle.follow(c, http.StateNew)
+		idle.follow(&boundConn{Conn: c, owner: &boundListener{}}, http.StateIdle)
+	}
+	_, err := used.Write([]byte("G"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Eventually(func() bool { return pending(usedFar) }).Should(gomega.BeTrue())
+	g.Expect(idle.close()).To(gomega.Equal(1))
+	_, err = quiet.Read(make([]byte, 1))
+	g.Expect(err).To(gomega.Equal(io.EOF))
+	b := make([]byte, 1)
+	_, err = usedFar.Read(b)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(string(b)).To(gomega.Equal("G"))
+}
--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -223,7 +223,7 @@
 	n.holder = &gtdelta.Holder{Now: now}
 	n.board = &gtmove.Board{Now: now}
 	n.crashes = &gtonce.Crashes{Now: now}
-	self := gtmember.NewRecord(cfg.Node.Instance, cfg.Node.Zone, cfg.Listen.Hop, cfg.Listen.Peer).
+	self := gtmember.NewRecord(cfg.Node.Instance, cfg.Node.Zone, cfg.HopAddress(), cfg.PeerAddress()).
 		WithBackend(cfg.Backend.Service, cfg.Backend.Version, cfg.Backend.Slots).
 		WithIncarnation(uint64(n.started.UnixMilli()))
 	n.table.SetSelf(self)
@@ -319,7 +319,7 @@
 		}
 		break
 	}
-	n.server.shutdown(ctx)
+	n.server.shutdown(ctx, n.timer)
 	n.setState(gtmember.Gone)
 	_ = n.timer.Wait(ctx, 100*time.Millisecond)
 	if err := n.tracer.Close(ctx); err != nil {
--- a/io/process/gtnode/serve.go
+++ b/io/process/gtnode/serve.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sys/unix"
 
 	"godwittide/core/connection/gtlive"
+	"godwittide/core/process/gttimer"
 	"godwittide/io/connection/gtpool"
 )
 
@@ -25,6 +26,10 @@
 	// userTimeout is how long sent bytes may go unacknowledged before the
 	// kernel gives a connection up.
 	userTimeout = gtlive.Silence
+	// shutdownLimit bounds the time to end what callers still use, and idleEvery
+	// is the pause between two looks at connections that a request has come on.
+	shutdownLimit = time.Second
+	idleEvery     = 2 * time.Millisecond
 	// peerLimit is the most control connections at a time.
 	peerLimit = 256
 )
@@ -47,6 +52,8 @@
 type servers struct {
 	edge, hop, admin *http.Server
 	peer             net.Listener
+	open             listeners
+	idle             idleConns
 }
 
 // listen opens the ports of the settings. An address with port 0 is replaced in
@@ -137,7 +144,8 @@
 	n.server.edge = n.newServer(n.closing(front))
 	n.server.hop = n.newServer(n.hop)
 	n.server.admin = n.newServer(n.adminMux())
-	n.server.peer = l.peer
+	n.server.peer, n.server.open = l.peer, l
+	n.server.edge.ConnState, n.server.hop.ConnState = n.server.idle.follow, n.server.idle.follow
 	edge := &boundListener{Listener: l.edge, most: int64(n.Settings.Limit.Callers)}
 	for _, s := range []struct {
 		server *http.Server
@@ -145,7 +153,7 @@
 	}{{n.server.edge, edge}, {n.server.hop, l.hop}, {n.server.admin, l.admin}} {
 		s.server.ErrorLog = quietLog(n.Log)
 		n.wg.Go(func() {
-			if err := s.server.Serve(s.ln); !errors.Is(err, http.ErrServerClosed) {
+			if err := s.server.Serve(s.ln); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				n.Log.Error().Err(err).Msg("node: server ended")
 			}
 		})
@@ -173,10 +181,17 @@
 	}
 }
 
-// shutdown stops the servers once nothing is in flight.
-func (s *servers) shutdown(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
+// shutdown stops the servers once nothing is in flight. First it closes the
+// connections that wait for a request, so that none is cut off.
+func (s *servers) shutdown(ctx context.Context, timer *gttimer.Service) {
+	ctx, cancel := context.WithTimeout(ctx, shutdownLimit)
 	defer cancel()
+	_, _ = s.open.edge.Close(), s.open.hop.Close()
+	for s.idle.close() > 0 {
+		if timer.Wait(ctx, idleEvery) != nil {
+			break
+		}
+	}
 	for _, server := range []*http.Server{s.edge, s.hop, s.admin} {
 		if server.Shutdown(ctx) != nil {
 			_ = server.Close()
--- a/io/process/gtnode/watch.go
+++ b/io/process/gtnode/watch.go
@@ -225,7 +225,7 @@
 	if err != nil {
 		return err
 	}
-	if err := n.vault.PutContact(ctx, n.Settings.Node.Zone, n.Settings.Node.Instance, n.Settings.Listen.Peer, id); err != nil {
+	if err := n.vault.PutContact(ctx, n.Settings.Node.Zone, n.Settings.Node.Instance, n.Settings.PeerAddress(), id); err != nil {
 		return err
 	}
 	*lease = id
