--- a/io/process/gtsettings/settings.go
+++ b/io/process/gtsettings/settings.go
@@ -11,6 +11,7 @@
 package gtsettings
 
 import (
+	"cmp"
 	_ "embed" // for Sample
 	"errors"
 	"fmt"
@@ -33,6 +34,7 @@
 type Settings struct {
 	Node    Node    `toml:"node"`
 	Listen  Listen  `toml:"listen"`
+	Tell    Tell    `toml:"tell"`
 	Backend Backend `toml:"backend"`
 	Store   Store   `toml:"store"`
 	TLS     TLS     `toml:"tls"`
@@ -58,6 +60,19 @@
 	Admin string `toml:"admin"`
 }
 
+// Tell holds the addresses that other nodes are told, where a relay stands
+// before the ones that the node listens on; "" means those of Listen.
+type Tell struct {
+	Hop  string `toml:"hop"`
+	Peer string `toml:"peer"`
+}
+
+// HopAddress returns the address that other nodes send requests to.
+func (s Settings) HopAddress() string { return cmp.Or(s.Tell.Hop, s.Listen.Hop) }
+
+// PeerAddress returns the address that other nodes open control links to.
+func (s Settings) PeerAddress() string { return cmp.Or(s.Tell.Peer, s.Listen.Peer) }
+
 // Backend describes the backend server beside the node.
 type Backend struct {
 	Address     string `toml:"address"`
@@ -207,8 +222,8 @@
 		told       bool // other nodes are told the address
 	}{
 		{"listen.edge", s.Listen.Edge, false},
-		{"listen.hop", s.Listen.Hop, true},
-		{"listen.peer", s.Listen.Peer, true},
+		{"listen.hop", s.Listen.Hop, s.Tell.Hop == ""},
+		{"listen.peer", s.Listen.Peer, s.Tell.Peer == ""},
 		{"listen.admin", s.Listen.Admin, false},
 	}
 	for _, v := range listen {
@@ -223,6 +238,11 @@
 			return fmt.Errorf("%s: other nodes connect to this address; name the IP of the instance, not %s", v.key, addr.Addr())
 		}
 	}
+	for key, value := range map[string]string{"tell.hop": s.Tell.Hop, "tell.peer": s.Tell.Peer} {
+		if _, err := netip.ParseAddrPort(value); value != "" && err != nil {
+			return fmt.Errorf("%s: expected an IP and a port, found %q", key, value)
+		}
+	}
 	if _, err := netip.ParseAddrPort(s.Backend.Address); err != nil {
 		return fmt.Errorf("backend.address: expected an IP and a port, found %q", s.Backend.Address)
 	}
