--- /dev/null
+++ b/core/request/gtkind/kind_test.go
@@ -0,0 +1,58 @@
+package gtkind
+
+import (
+	"errors"
+	"net/http"
+	"testing"
+
+	"github.com/onsi/gomega"
+)
+
+func TestRowsAreComplete(t *testing.T) {
+	g := gomega.NewWithT(t)
+	names := map[string]bool{}
+	for _, k := range All() {
+		row := k.Row()
+		g.Expect(row.Name()).NotTo(gomega.BeEmpty())
+		g.Expect(names).NotTo(gomega.HaveKey(row.Name()))
+		names[row.Name()] = true
+		g.Expect(row.Status()).To(gomega.BeNumerically(">=", 400), row.Name())
+		g.Expect(Parse(row.Name())).To(gomega.Equal(k))
+		g.Expect(k.String()).To(gomega.Equal(row.Name()))
+		g.Expect(Of(New(k, "x"))).To(gomega.Equal(k))
+	}
+	g.Expect(Parse("of a later version")).To(gomega.Equal(Internal))
+	g.Expect(Kind(-1).Row()).To(gomega.Equal(Internal.Row()))
+	g.Expect(count.Row()).To(gomega.Equal(Internal.Row()))
+}
+
+// A status that callers take for "not run" is told only where that is certain,
+// or where the backend server itself has answered with it.
+func TestStatusesAgreeWithCertainty(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, k := range All() {
+		row := k.Row()
+		switch row.Status() {
+		case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+			g.Expect(row.Certainty() == NotRun || k == Shed).To(gomega.BeTrue(), row.Name())
+		case http.StatusBadGateway, http.StatusInternalServerError, http.StatusConflict:
+			g.Expect(row.Certainty()).To(gomega.Equal(Unknown), row.Name())
+		}
+		if row.Wait() > 0 {
+			g.Expect(row.Elsewhere() || k == NoConfig || k == NoBackend).To(gomega.BeTrue(), "%s may pass", row.Name())
+		}
+	}
+}
+
+func TestErrorsKeepTheirKind(t *testing.T) {
+	g := gomega.NewWithT(t)
+	cause := errors.New("connection reset")
+	err := Wrap(cause, Cut, "read the answer")
+	g.Expect(Of(err)).To(gomega.Equal(Cut))
+	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("connection reset")))
+	g.Expect(Of(Wrap(err, Crashed, "backend server crashed"))).To(gomega.Equal(Crashed), "the outer kind says more")
+	g.Expect(Of(cause)).To(gomega.Equal(Internal))
+	g.Expect(Of(nil)).To(gomega.Equal(None))
+	g.Expect(Detail(New(Full, "queue of %s", "x"))).To(gomega.Equal("queue of x"))
+	g.Expect(Detail(cause)).To(gomega.Equal("connection reset"))
+}
--- /dev/null
+++ b/core/version/gtevidence/judge_test.go
@@ -0,0 +1,130 @@
+package gtevidence
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// version is how a version answers: the share of failures, and latencies that
+// are spread log-normally around a middle.
+type version struct {
+	fail   float64
+	middle time.Duration
+}
+
+func (v version) answer(rnd *rand.Rand) Outcome {
+	d := time.Duration(float64(v.middle) * math.Exp(0.5*rnd.NormFloat64()))
+	return NewOutcome(rnd.Float64() < v.fail, d)
+}
+
+// judged plays requests, a tenth of them on the new version, and returns how
+// many of those it took to an alarm, or -1.
+func judged(seed uint64, old, fresh version, requests int) int {
+	rnd := rand.New(rand.NewPCG(seed, 3))
+	now := time.Unix(1000, 0)
+	j := &Judge{Now: func() time.Time { return now }, From: "1", To: "2", Threshold: PooledThreshold}
+	n := 0
+	for range requests {
+		now = now.Add(5 * time.Millisecond)
+		if rnd.IntN(10) > 0 {
+			j.Add("r", "1", old.answer(rnd))
+			continue
+		}
+		n++
+		j.Add("r", "2", fresh.answer(rnd))
+		if _, bad := j.Alarm(); bad {
+			return n
+		}
+	}
+	return -1
+}
+
+// A healthy version under noise is called bad in at most 1 of 100 seeds.
+func TestHealthyVersionIsSeldomCalledBad(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const seeds = 300
+	for _, v := range []version{{0, 20 * time.Millisecond}, {0.02, 20 * time.Millisecond}, {0.1, 200 * time.Millisecond}} {
+		alarms := 0
+		for seed := range uint64(seeds) {
+			if judged(seed, v, v, 10000) >= 0 {
+				alarms++
+			}
+		}
+		t.Logf("%+v: %d of %d", v, alarms, seeds)
+		g.Expect(alarms).To(gomega.BeNumerically("<=", seeds/100))
+	}
+}
+
+// maxExposure is how many requests beyond its share a bad version may get in
+// the users' bounds.
+const maxExposure = 50
+
+// A version that fails or is slow is found out after a few requests: the more
+// it fails, the sooner.
+func TestBadVersionIsCalledBadSoon(t *testing.T) {
+	g := gomega.NewWithT(t)
+	old := version{0.01, 20 * time.Millisecond}
+	for _, bad := range []version{
+		{1, 20 * time.Millisecond}, {0.5, 20 * time.Millisecond}, {0.2, 20 * time.Millisecond}, {0.01, 80 * time.Millisecond},
+	} {
+		sum := 0
+		for seed := range uint64(100) {
+			n := judged(seed, old, bad, 20000)
+			g.Expect(n).To(gomega.BeNumerically(">", 0), "%+v, seed %d", bad, seed)
+			sum += n
+		}
+		t.Logf("%+v: %.1f requests on the new version", bad, float64(sum)/100)
+		g.Expect(sum/100).To(gomega.BeNumerically("<=", maxExposure), "%+v", bad)
+	}
+}
+
+// Reports count up from the instance's start, so that one that is lost, late or
+// repeated changes nothing in the end.
+func TestLostAndRepeatedReportsDoNoHarm(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for seed := range uint64(50) {
+		rnd := rand.New(rand.NewPCG(seed, 4))
+		var ledger Ledger
+		var reports []Report
+		for range 20 {
+			for range 10 {
+				ledger.Add("r", version{0.3, time.Millisecond}.answer(rnd))
+			}
+			reports = append(reports, ledger.Report("i", 7, "2"))
+		}
+		j := &Judge{Now: func() time.Time { return time.Unix(1000, 0) }, From: "1", To: "2", Threshold: math.Inf(1)}
+		for _, r := range reports {
+			for range rnd.IntN(3) {
+				j.Take(r)
+			}
+		}
+		last := reports[len(reports)-1]
+		j.Take(last)
+		j.Take(NewReport("i", 6, "2", last.Routes()))
+		g.Expect(j.Answered()).To(gomega.Equal(uint64(200)), "seed %d", seed)
+		j.Take(NewReport("i", 8, "2", reports[0].Routes()))
+		g.Expect(j.Answered()).To(gomega.Equal(uint64(210)), "it started again")
+	}
+}
+
+func TestLedgerIsBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var ledger Ledger
+	for i := range 2 * MaxRoutes {
+		ledger.Add(string(rune('a'+i)), NewOutcome(false, time.Hour))
+	}
+	routes := ledger.Report("i", 1, "1").Routes()
+	g.Expect(len(routes)).To(gomega.BeNumerically("<=", MaxRoutes+1))
+	g.Expect(routes[""].Total()).To(gomega.Equal(uint64(MaxRoutes)))
+	for _, d := range []time.Duration{0, time.Microsecond, time.Millisecond, time.Second, time.Hour} {
+		i := Bucket(d)
+		if i > 0 && i < Buckets-1 {
+			g.Expect(BucketLimit(i)).To(gomega.BeNumerically(">=", d))
+			g.Expect(BucketLimit(i - 1)).To(gomega.BeNumerically("<=", d))
+		}
+	}
+}
--- a/io/request/gthop/dialect.go
+++ b/io/request/gthop/dialect.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"godwittide/core/request/gtcall"
+	"godwittide/core/version/gtconfig"
 )
 
 // Dialect is how callers and backend servers are spoken to. A function that is
@@ -56,7 +57,7 @@
 	if err != nil {
 		return 0, false
 	}
-	return time.Duration(max(ms, 0)) * time.Millisecond, true
+	return time.Duration(min(max(ms, 0), gtconfig.MaxTimeout.Milliseconds())) * time.Millisecond, true
 }
 
 // Fail answers a caller with an error.
--- a/io/request/gthop/facts_test.go
+++ b/io/request/gthop/facts_test.go
@@ -122,6 +122,18 @@
 	})
 }
 
+func FuzzOwnLeft(f *testing.F) {
+	for _, s := range []string{"1200", "-1", "9223372036854775807", "x"} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		d, ok := ownLeft(&http.Request{Header: http.Header{HeaderLeft: {text}}})
+		if !ok && d != 0 || d < 0 || d > gtconfig.MaxTimeout {
+			t.Fatalf("%q: %s, %v", text, d, ok)
+		}
+	})
+}
+
 func FuzzDecodeReply(f *testing.F) {
 	f.Add("id/1/2/3/4/full")
 	f.Add("%zz/1/2/3/4/")
--- a/io/request/gthop/head_test.go
+++ b/io/request/gthop/head_test.go
@@ -7,22 +7,10 @@
 	"strings"
 	"testing"
 
-	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
-	"godwittide/core/request/gtkind"
 )
 
-func TestKindsRowsAreComplete(t *testing.T) {
-	g := gomega.NewWithT(t)
-	for _, k := range gtkind.All() {
-		g.Expect(k.Row().Name()).NotTo(gomega.BeEmpty())
-		g.Expect(k.Row().Status()).To(gomega.BeNumerically(">=", 400))
-		g.Expect(gtkind.Parse(k.Row().Name())).To(gomega.Equal(k))
-		g.Expect(gtkind.Of(gtkind.New(k, "x"))).To(gomega.Equal(k))
-	}
-}
-
 // naiveClean deletes the fields one by one from a whole copy.
 func naiveClean(h http.Header) http.Header {
 	out := h.Clone()
