--- a/cmd/godwitstand/soak.go
+++ b/cmd/godwitstand/soak.go
@@ -17,13 +17,13 @@
 }
 
 type soakCommand struct {
-	Program string        `help:"Program whose nodes are tried." default:"godwittide" placeholder:"FILE"`
-	Seed    uint64        `help:"Seed of the first day." default:"1"`
-	Seeds   int           `help:"Number of days, each with the next seed." default:"1"`
-	Minutes float64       `help:"Minutes in which faults come, for each day." default:"1"`
-	Sites   int           `help:"Number of backend servers, each with its node." default:"6"`
-	Plant   string        `help:"Play it on nodes that break a promise."`
-	Keep    string        `help:"Folder for settings and logs of the nodes; those of days without a finding are removed." placeholder:"DIR"`
+	Program string  `help:"Program whose nodes are tried." default:"godwittide" placeholder:"FILE"`
+	Seed    uint64  `help:"Seed of the first day." default:"1"`
+	Seeds   int     `help:"Number of days, each with the next seed." default:"1"`
+	Minutes float64 `help:"Minutes in which faults come, for each day." default:"1"`
+	Sites   int     `help:"Number of backend servers, each with its node." default:"6"`
+	Plant   string  `help:"Play it on nodes that break a promise."`
+	Keep    string  `help:"Folder for settings and logs of the nodes; those of days without a finding are removed." placeholder:"DIR"`
 }
 
 // Help returns examples.
--- a/io/request/gthop/head_test.go
+++ b/io/request/gthop/head_test.go
@@ -8,7 +8,6 @@
 	"testing"
 
 	"pgregory.net/rapid"
-
 )
 
 // naiveClean deletes the fields one by one from a whole copy.
