--- a/cmd/godwitstand/plant.go
+++ b/cmd/godwitstand/plant.go
@@ -14,6 +14,7 @@
 
 	"godwittide/core/request/gtkind"
 	"godwittide/io/process/gtcommand"
+	"godwittide/io/process/gtlog"
 	"godwittide/io/process/gtnode"
 	"godwittide/io/process/gtsettings"
 	"godwittide/io/request/gthop"
@@ -35,7 +36,7 @@
 	if err != nil {
 		return err
 	}
-	node := &gtnode.Node{Settings: cfg, Log: zerolog.New(os.Stdout).With().Timestamp().Logger()}
+	node := &gtnode.Node{Settings: cfg, Log: gtlog.New(os.Stdout, zerolog.InfoLevel, cfg.Node.Instance)}
 	plants[c.Promise](env.Context(), node)
 	node.Open()
 	return node.Run(env.Context())
--- a/cmd/godwittide/node.go
+++ b/cmd/godwittide/node.go
@@ -45,7 +45,7 @@
 	}
 	out := gtlog.Open(os.Stdout)
 	defer out.Close()
-	log, err := newLog(cfg.Log, out)
+	log, err := newLog(cfg, out)
 	if err != nil {
 		return err
 	}
@@ -57,15 +57,15 @@
 }
 
 // newLog returns a logger that writes lines to out.
-func newLog(cfg gtsettings.Log, out io.Writer) (zerolog.Logger, error) {
-	level, err := zerolog.ParseLevel(cfg.Level)
+func newLog(cfg gtsettings.Settings, out io.Writer) (zerolog.Logger, error) {
+	level, err := zerolog.ParseLevel(cfg.Log.Level)
 	if err != nil {
 		return zerolog.Nop(), err
 	}
-	if cfg.Format == "text" {
+	if cfg.Log.Format == "text" {
 		out = zerolog.ConsoleWriter{Out: out, NoColor: !isTerminal(os.Stdout)}
 	}
-	return zerolog.New(out).Level(level).With().Timestamp().Logger(), nil
+	return gtlog.New(out, level, cfg.Node.Instance), nil
 }
 
 func isTerminal(f *os.File) bool {
--- a/cmd/godwittide/sidecar.go
+++ b/cmd/godwittide/sidecar.go
@@ -43,7 +43,7 @@
 	gtnode.TuneMemory(boot.Memory())
 	out := gtlog.Open(os.Stdout)
 	defer out.Close()
-	log := zerolog.New(out).Level(level).With().Timestamp().Str("node", boot.Settings().Node.Instance).Logger()
+	log := gtlog.New(out, level, boot.Settings().Node.Instance)
 	go hangups.log(env.Context(), log)
 	return (&gtplatform.Adapter{Boot: boot, Log: log}).Run(env.Context())
 }
--- a/io/process/gtlog/log.go
+++ b/io/process/gtlog/log.go
@@ -4,7 +4,7 @@
 //
 //	out := gtlog.Open(os.Stdout)
 //	defer out.Close()
-//	log := zerolog.New(out).With().Timestamp().Logger()
+//	log := gtlog.New(out, zerolog.InfoLevel, "lending-1")
 //
 //	book := &gtlog.Book{Log: log, Now: timer.Time, Rate: 50}
 //	book.Line("full").Str("request", id).Msg("request: refused")
@@ -33,6 +33,17 @@
 	closeLimit = 300 * time.Millisecond
 )
 
+// timeFormat is that of the time in each line: the way of a request through
+// several nodes takes milliseconds.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+func init() { zerolog.TimeFieldFormat = timeFormat }
+
+// New returns a logger whose lines bear the node's name and the time.
+func New(out io.Writer, level zerolog.Level, node string) zerolog.Logger {
+	return zerolog.New(out).Level(level).With().Timestamp().Str("node", node).Logger()
+}
+
 // Output is where the lines of a process go. It is safe for many threads.
 type Output struct {
 	ring    diode.Writer
--- a/io/process/gtsoak/check.go
+++ b/io/process/gtsoak/check.go
@@ -103,7 +103,7 @@
 		at := r.sites[s.site]
 		from, to := s.At.Add(-learnMargin), s.At.Add(s.Took)
 		if at.undisturbed("term", from, to) {
-			r.find("a %s to %s was cut off: %v", c.method, at.name, s.Err)
+			r.find("a %s to %s was cut off at %s, after %s: %v", c.method, at.name, to.Format("15:04:05.000"), s.Took, s.Err)
 		}
 	}
 }
