core/request/gtroute: refuse at once what can't be reached

With all servers left out, the least bad was sent to, by all.

Ruled out: a shorter limit for connections (busy machines take 300 ms).

Where every server is left out because it could not be reached, one request at a time goes to each, and the others are refused at once with 'not run'. A server that cuts an answer off, or whose node says that it is down, can be reached and is not shut. The load in the module, four servers cut off for 5 s, 100 requests a second: 500 of 500 waited before, 116 to 122 after, 100 of them in the first second; served again within 60 ms.

--- a/core/request/gtroute/load.go
+++ b/core/request/gtroute/load.go
@@ -87,6 +87,7 @@
 	toldAt    time.Time
 	failures  int
 	ejectedTo time.Time
+	unreached bool // the last failure was to get there at all
 	used      time.Time
 	paces     map[string]pace
 }
@@ -136,6 +137,7 @@
 			return
 		}
 		p.failures++
+		p.unreached = unreachable(k)
 		p.ejectedTo = now.Add(min(ejectFirst<<min(p.failures-1, 10), ejectLimit(k)))
 	})
 }
@@ -158,6 +160,12 @@
 	}
 }
 
+// unreachable says whether a kind shows that the instance could not be reached,
+// which takes a caller long to find out.
+func unreachable(k gtkind.Kind) bool {
+	return k == gtkind.Refused || k == gtkind.NotAlive || k == gtkind.Silent
+}
+
 // Sweep forgets instances that have had no requests for a time.
 func (rt *Router) Sweep() {
 	now := rt.Now()
@@ -192,6 +200,9 @@
 	pace time.Duration
 	// fault is the share of its answers that it fails.
 	fault float64
+	// shut says that it could not be reached, and that a request is on its way
+	// to find out whether it can be again.
+	shut bool
 }
 
 // before says whether s is to be preferred to o: by load, unless both have room
@@ -239,6 +250,7 @@
 		s.load = float64(busy) / float64(limit)
 		if now.Before(p.ejectedTo) {
 			s.load += ejectedLoad
+			s.shut = p.unreached && p.inflight > 0
 		}
 		if told, ok := p.paces[route]; ok && now.Sub(told.at) < paceFresh {
 			s.pace = told.d
--- a/core/request/gtroute/route.go
+++ b/core/request/gtroute/route.go
@@ -89,6 +89,9 @@
 			return rt.home(list, q), nil
 		}
 		best := rt.balance(list, q.route)
+		if best.shut {
+			return gtmember.Record{}, gtkind.New(gtkind.NoBackend, "no backend server of %q can be reached, another request is trying", q.service)
+		}
 		if len(q.tried) > 0 && best.load >= queueLoad {
 			return gtmember.Record{}, gtkind.New(gtkind.Full, "every other backend server of %q that is known is full", q.service)
 		}
