core/process/gtbeat: a node that stood still does not take its server for stopped

Found while tracing what a stop does to the gate: the first look after a stop longer than three heartbeats closed the gate, told the peers that the server was down, and let it return cold, though its heartbeats waited to be read. Silence now counts only without a standstill in its time. Test red before.

--- a/core/process/gtbeat/beat.go
+++ b/core/process/gtbeat/beat.go
@@ -85,6 +85,10 @@
 	// Silence is how long heartbeats may fail to come before the backend server
 	// counts as stopped. It is set before use.
 	Silence time.Duration
+	// Stalled says whether this process stood still at some time after since:
+	// heartbeats from then may wait to be read. It is set before use; nil means
+	// never.
+	Stalled func(since time.Time) bool
 
 	mu   sync.Mutex
 	last Beat
@@ -128,5 +132,9 @@
 func (f *Follower) Silent() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !f.at.IsZero() && f.Now().Sub(f.at) > f.Silence
+	now := f.Now()
+	if f.at.IsZero() || now.Sub(f.at) <= f.Silence {
+		return false
+	}
+	return f.Stalled == nil || !f.Stalled(now.Add(-f.Silence))
 }
--- a/core/process/gtbeat/beat_test.go
+++ b/core/process/gtbeat/beat_test.go
@@ -69,3 +69,17 @@
 	*now = now.Add(time.Millisecond)
 	g.Expect(f.Silent()).To(gomega.BeTrue())
 }
+
+// A node that was stopped finds no heartbeats from that time. They wait to be
+// read, or the next one comes: its server has not stopped.
+func TestOwnStandstillIsNoSilence(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f, now := follower()
+	f.Take(NewBeat("a", "1", 9).WithOrder(100, 1))
+	*now = now.Add(6 * time.Second)
+	woke := *now
+	f.Stalled = func(since time.Time) bool { return since.Before(woke) }
+	g.Expect(f.Silent()).To(gomega.BeFalse())
+	*now = now.Add(f.Silence)
+	g.Expect(f.Silent()).To(gomega.BeTrue(), "none has come since")
+}
