--- a/cmd/godwitstand/soak.go
+++ b/cmd/godwitstand/soak.go
@@ -22,7 +22,7 @@
 	Seeds   int     `help:"Number of days, each with the next seed." default:"1"`
 	Minutes float64 `help:"Minutes in which faults come, for each day." default:"1"`
 	Sites   int     `help:"Number of backend servers, each with its node." default:"6"`
-	Plant   string  `help:"Play it on nodes that break a promise."`
+	Plant   string  `help:"Play it on nodes that break a promise: lie, twice, mix or leave, see plant --help." default:"" enum:",lie,twice,mix,leave"`
 	Keep    string  `help:"Folder for settings and logs of the nodes; those of days without a finding are removed." placeholder:"DIR"`
 }
 
--- a/core/version/gtconfig/merge.go
+++ b/core/version/gtconfig/merge.go
@@ -57,15 +57,15 @@
 // result or every problem found, never a part. The order in which the files
 // are given does not matter: they are merged in the order of their names.
 func Merge(files []File) (*Config, []Problem) {
-	m := &merger{entries: map[string]Entry{}, groups: map[string]map[string]group{}}
+	m := &merger{groups: map[string]map[string]group{}}
 	files = slices.Clone(files)
 	slices.SortStableFunc(files, func(a, b File) int { return strings.Compare(a.name, b.name) })
 	for i, f := range files {
 		if i > 0 && files[i-1].name == f.name {
 			m.problems = append(m.problems, NewProblem(f.name, 0, "", "the folder holds this name twice"))
 		}
-		for _, e := range f.entries {
-			m.take(e)
+		for i := range f.entries {
+			m.take(&f.entries[i])
 		}
 	}
 	cfg := m.build()
@@ -77,15 +77,14 @@
 }
 
 // group is what all files say of one service, route, move or zone.
-type group map[string]Entry
+type group map[string]*Entry
 
 type merger struct {
-	entries  map[string]Entry
 	groups   map[string]map[string]group
 	problems []Problem
 }
 
-func (m *merger) take(e Entry) {
+func (m *merger) take(e *Entry) {
 	known, ok := keys[e.section]
 	if !ok {
 		m.refuse(e, "unknown section %q; use service, route, move or zone", e.section)
@@ -104,7 +103,6 @@
 		m.refuse(e, "expected a %s, found a %s", want, e.value.typ)
 		return
 	}
-	m.entries[e.Path()] = e
 	if m.groups[e.section] == nil {
 		m.groups[e.section] = map[string]group{}
 	}
@@ -114,7 +112,7 @@
 	m.groups[e.section][e.name][e.key] = e
 }
 
-func (m *merger) refuse(e Entry, format string, args ...any) {
+func (m *merger) refuse(e *Entry, format string, args ...any) {
 	m.problems = append(m.problems, e.problem(format, args...))
 }
 
@@ -280,15 +278,20 @@
 	return d
 }
 
-func (g group) text(key string) string { return g[key].value.text }
+func (g group) text(key string) string {
+	if e, ok := g[key]; ok {
+		return e.value.text
+	}
+	return ""
+}
 
 // at returns the entry of key, or, where it is missing, a place in the group's
 // first line to hang a message on.
-func (g group) at(section, name, key string) Entry {
+func (g group) at(section, name, key string) *Entry {
 	if e, ok := g[key]; ok {
 		return e
 	}
-	place := Entry{section: section, name: name, key: key}
+	place := &Entry{section: section, name: name, key: key}
 	for _, e := range g {
 		if place.line == 0 || e.file < place.file || e.file == place.file && e.line < place.line {
 			place.file, place.line = e.file, e.line
@@ -297,10 +300,21 @@
 	return place
 }
 
+// sum returns a checksum of all entries, in order.
 func (m *merger) sum() string {
 	h := sha256.New()
-	for _, path := range slices.Sorted(maps.Keys(m.entries)) {
-		_, _ = h.Write([]byte(path + "=" + m.entries[path].value.canon() + "\n"))
+	var line []byte
+	for _, section := range slices.Sorted(maps.Keys(m.groups)) {
+		for _, name := range m.names(section) {
+			g := m.groups[section][name]
+			for _, key := range slices.Sorted(maps.Keys(g)) {
+				line = append(line[:0], section...)
+				line = append(append(line, '.'), name...)
+				line = append(append(line, '.'), key...)
+				line = append(append(line, '='), g[key].value.canon()...)
+				_, _ = h.Write(append(line, '\n'))
+			}
+		}
 	}
 	return hex.EncodeToString(h.Sum(nil)[:16])
 }
--- a/io/process/gtsoak/soak.go
+++ b/io/process/gtsoak/soak.go
@@ -129,6 +129,9 @@
 	r.pause(calmTime)
 	callers()
 	watch()
+	if err := ctx.Err(); err != nil {
+		return r.report, errorx.Decorate(err, "play the day of seed %d", s.Seed)
+	}
 	r.check(calm)
 	return r.report, nil
 }
@@ -293,7 +296,7 @@
 }
 
 func (r *run) until(limit time.Duration, check func() bool) bool {
-	for start := time.Now(); time.Since(start) < limit; r.pause(lookEvery) {
+	for start := time.Now(); time.Since(start) < limit && r.ctx.Err() == nil; r.pause(lookEvery) {
 		if check() {
 			return true
 		}
