io/process/gtnode: tell callers on idle connections before a stopping node closes them

The node had closed a connection that held no bytes, and the request was sent before its caller saw that.

An idle connection of callers now gets a 408 with 'Connection: close' and 'not run' before its end (RFC 9110, 15.5.9): who crosses it reads that, others take it for the end. Not on the users' platform, whose callers expect no such bytes.

--- a/io/process/gtnode/idle.go
+++ b/io/process/gtnode/idle.go
@@ -5,14 +5,30 @@
 	"net/http"
 	"sync"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
+
+	"godwittide/core/request/gtkind"
+	"godwittide/io/request/gthop"
 )
 
+// noticeLimit bounds the time to write a few bytes into an empty buffer.
+const noticeLimit = 10 * time.Millisecond
+
+// endNotice is what a caller gets that sends a request in the moment in which its
+// idle connection ends. A client that has sent none takes it for the end of the
+// connection (RFC 9110, 15.5.9).
+var endNotice = []byte("HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n" +
+	gthop.HeaderKind + ": " + gtkind.Leaving.String() + "\r\n" + gthop.HeaderCertainty + ": " + gtkind.NotRun.String() + "\r\n\r\n")
+
 // idleConns knows the connections of a server on which no request runs. A
 // server that closes one in the moment in which a request arrives cuts that off,
 // so those that hold bytes are left to be served.
 type idleConns struct {
+	// notice is sent on a connection before its end; nil means nothing.
+	notice []byte
+
 	mu    sync.Mutex
 	conns map[net.Conn]bool
 }
@@ -42,6 +58,10 @@
 			left++
 			continue
 		}
+		if i.notice != nil {
+			_ = c.SetWriteDeadline(time.Now().Add(noticeLimit))
+			_, _ = c.Write(i.notice)
+		}
 		_ = c.Close()
 		delete(i.conns, c)
 	}
--- a/io/process/gtnode/idle_test.go
+++ b/io/process/gtnode/idle_test.go
@@ -1,12 +1,15 @@
 package gtnode
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
 	"testing"
 
 	"github.com/onsi/gomega"
+
+	"godwittide/io/request/gthop"
 )
 
 // connect returns both ends of a connection.
@@ -49,3 +52,20 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(string(b)).To(gomega.Equal("G"))
 }
+
+// A caller whose request crosses the end of its connection learns that it did
+// not run, and one that has sent none notices nothing.
+func TestRequestThatCrossesTheEndIsAnswered(t *testing.T) {
+	g := gomega.NewWithT(t)
+	idle := idleConns{notice: endNotice}
+	near, far := connect(t)
+	idle.follow(far, http.StateIdle)
+	g.Expect(idle.close()).To(gomega.BeZero())
+	_, err := near.Write([]byte("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	resp, err := http.ReadResponse(bufio.NewReader(near), nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusRequestTimeout))
+	g.Expect(resp.Header.Get(gthop.HeaderCertainty)).To(gomega.Equal("not run"))
+	g.Expect(resp.Close).To(gomega.BeTrue())
+}
--- a/io/process/gtnode/serve.go
+++ b/io/process/gtnode/serve.go
@@ -53,7 +53,7 @@
 	edge, hop, admin *http.Server
 	peer             net.Listener
 	open             listeners
-	idle             idleConns
+	callers, nodes   idleConns // on edge and hop
 }
 
 // listen opens the ports of the settings. An address with port 0 is replaced in
@@ -145,7 +145,10 @@
 	n.server.hop = n.newServer(n.hop)
 	n.server.admin = n.newServer(n.adminMux())
 	n.server.peer, n.server.open = l.peer, l
-	n.server.edge.ConnState, n.server.hop.ConnState = n.server.idle.follow, n.server.idle.follow
+	n.server.edge.ConnState, n.server.hop.ConnState = n.server.callers.follow, n.server.nodes.follow
+	if n.Dialect.Refuse == nil { // others' callers may not know what to make of it
+		n.server.callers.notice = endNotice
+	}
 	edge := &boundListener{Listener: l.edge, most: int64(n.Settings.Limit.Callers)}
 	for _, s := range []struct {
 		server *http.Server
@@ -187,7 +190,7 @@
 	ctx, cancel := context.WithTimeout(ctx, shutdownLimit)
 	defer cancel()
 	_, _ = s.open.edge.Close(), s.open.hop.Close()
-	for s.idle.close() > 0 {
+	for s.callers.close()+s.nodes.close() > 0 {
 		if timer.Wait(ctx, idleEvery) != nil {
 			break
 		}
