--- a/core/process/gtbeat/beat.go
+++ b/core/process/gtbeat/beat.go
@@ -10,6 +10,7 @@
 package gtbeat
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -93,8 +94,12 @@
 	mu   sync.Mutex
 	last Beat
 	at   time.Time
+	left []string // ids of processes that have left, the latest last
 }
 
+// maxLeft bounds how many processes that have left are remembered.
+const maxLeft = 16
+
 // Take takes in a heartbeat. It returns what to believe now, and false if the
 // heartbeat is older than what is known. A process that leaves does not come
 // back.
@@ -104,16 +109,21 @@
 	if !f.at.IsZero() && !b.after(f.last) {
 		return f.last, false
 	}
-	b.leaving = b.leaving || f.last.leaving && b.sameProcess(f.last)
+	b.leaving = b.leaving || f.last.leaving && b.sameProcess(f.last) || slices.Contains(f.left, b.id)
 	f.last, f.at = b, f.Now()
 	return b, true
 }
 
-// Leave notes that the process with the given id takes no new requests. It
-// says whether that is the one that is known.
+// Leave notes that the process with the given id takes no new requests, also
+// where no heartbeat of it was heard yet: one may come late. It says whether that
+// is the one that is known.
 func (f *Follower) Leave(id string) (Beat, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.left = append(f.left, id)
+	if len(f.left) > maxLeft {
+		f.left = slices.Clone(f.left[1:])
+	}
 	if f.at.IsZero() || f.last.id != id {
 		return f.last, false
 	}
--- a/core/process/gtbeat/beat_test.go
+++ b/core/process/gtbeat/beat_test.go
@@ -83,3 +83,21 @@
 	*now = now.Add(f.Silence)
 	g.Expect(f.Silent()).To(gomega.BeTrue(), "none has come since")
 }
+
+// A node that has just started may hear that its server leaves before it hears a
+// heartbeat, and then one that was sent before.
+func TestLeaveBeforeTheFirstHeartbeat(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f, _ := follower()
+	_, known := f.Leave("a")
+	g.Expect(known).To(gomega.BeFalse())
+	last, news := f.Take(NewBeat("a", "1", 9).WithOrder(100, 3))
+	g.Expect(news).To(gomega.BeTrue())
+	g.Expect(last.Leaving()).To(gomega.BeTrue())
+	last, _ = f.Take(NewBeat("b", "1", 9).WithOrder(200, 1))
+	g.Expect(last.Leaving()).To(gomega.BeFalse(), "the next process does not")
+	for i := range 3 * maxLeft {
+		f.Leave(string(rune('c' + i)))
+	}
+	g.Expect(len(f.left)).To(gomega.BeNumerically("<=", maxLeft))
+}
