io/request/gthop: after a standstill, look whether the caller is still there

After a standstill the node now waits 2 ms, in which the end of a connection is read, and drops what nobody waits for.

--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -261,7 +261,7 @@
 		Sure: n.sure, Crashed: n.crashed, Down: n.checkDown, ReadyAt: n.backend.readyTime, Trace: n.tracer.Start,
 		Dialect: n.Dialect, Ran: n.logRun,
 	}
-	n.hop = &gthop.Handler{Beside: n.beside, Timer: n.timer, Body: cfg.Limit.Body, Panicked: n.panicked}
+	n.hop = &gthop.Handler{Beside: n.beside, Timer: n.timer, Body: cfg.Limit.Body, Panicked: n.panicked, Stalled: n.timer.Stalled}
 	client := &gthop.Client{Now: now, Pool: n.hops, Dialect: n.Dialect, Buffer: cfg.Limit.Buffer, Trace: n.tracer.Start}
 	n.edge = &gtedge.Edge{
 		Now: now, Self: cfg.Node.Instance, ID: cfg.Node.Instance + "-" + strconv.FormatInt(n.started.UnixMilli(), 36) + "-",
--- a/io/request/gthop/handler.go
+++ b/io/request/gthop/handler.go
@@ -28,6 +28,9 @@
 	Body int
 	// Panicked is told of each panic, which ends its request alone.
 	Panicked func(v any)
+	// Stalled says whether this process stood still at some time after since;
+	// nil means never.
+	Stalled func(since time.Time) bool
 
 	inflight atomic.Int64
 	beats    gtshard.Map[*beat]
@@ -103,6 +106,9 @@
 	if err != nil {
 		return gtcall.Answer{}, err
 	}
+	if h.stale(r.Context(), now) {
+		return gtcall.Answer{}, gtkind.New(gtkind.Canceled, "the caller left while this node stood still")
+	}
 	if c.Crashes() > 0 {
 		h.Beside.Crashes.Merge(gtonce.NewCrash(c.Fingerprint(), c.Crashes(), !c.Idempotent(), now.Add(gtonce.CrashWindow)))
 	}
@@ -112,6 +118,22 @@
 	return h.Beside.Run(r.Context(), c)
 }
 
+const (
+	// staleAfter is how long after a standstill requests may have waited for it.
+	staleAfter = 500 * time.Millisecond
+	// staleLook is the time in which the end of a connection is noticed.
+	staleLook = 2 * time.Millisecond
+)
+
+// stale says whether a request has waited for this process to go on, and its
+// caller has left meanwhile. The end of its connection is read beside.
+func (h *Handler) stale(ctx context.Context, now time.Time) bool {
+	if h.Stalled == nil || !h.Stalled(now.Add(-staleAfter)) {
+		return false
+	}
+	return h.Timer.Wait(ctx, staleLook) != nil
+}
+
 // ReadBody reads a request's body of at most limit bytes.
 func ReadBody(r *http.Request, limit int) ([]byte, error) {
 	if r.ContentLength > int64(limit) {
