--- a/core/process/gtbeat/beat.go
+++ b/core/process/gtbeat/beat.go
@@ -5,7 +5,8 @@
 // # Usage
 //
 //	follower := &gtbeat.Follower{Now: timer.Time, Silence: 5 * time.Second}
-//	if follower.Take(beat) { ... the belief changed ... }
+//	last, news := follower.Take(beat)     // what to believe now
+//	last, known := follower.Leave(id)
 //	if follower.Silent() { ... it has stopped ... }
 package gtbeat
 
@@ -94,9 +95,19 @@
 	mu   sync.Mutex
 	last Beat
 	at   time.Time
-	left []string // ids of processes that have left, the latest last
+	left []departure // the latest last
 }
 
+// departure is the leave of a process.
+type departure struct {
+	id string
+	at time.Time
+}
+
+// bars says whether a heartbeat is of the process that left, and not of a later
+// one with the same id.
+func (d departure) bars(b Beat) bool { return d.id == b.id && b.born <= d.at.UnixMilli() }
+
 // maxLeft bounds how many processes that have left are remembered.
 const maxLeft = 16
 
@@ -109,7 +120,7 @@
 	if !f.at.IsZero() && !b.after(f.last) {
 		return f.last, false
 	}
-	b.leaving = b.leaving || f.last.leaving && b.sameProcess(f.last) || slices.Contains(f.left, b.id)
+	b.leaving = b.leaving || f.last.leaving && b.sameProcess(f.last) || slices.ContainsFunc(f.left, func(d departure) bool { return d.bars(b) })
 	f.last, f.at = b, f.Now()
 	return b, true
 }
@@ -120,7 +131,7 @@
 func (f *Follower) Leave(id string) (Beat, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.left = append(f.left, id)
+	f.left = append(f.left, departure{id, f.Now()})
 	if len(f.left) > maxLeft {
 		f.left = slices.Clone(f.left[1:])
 	}
--- a/core/process/gtbeat/beat_test.go
+++ b/core/process/gtbeat/beat_test.go
@@ -96,6 +96,9 @@
 	g.Expect(last.Leaving()).To(gomega.BeTrue())
 	last, _ = f.Take(NewBeat("b", "1", 9).WithOrder(200, 1))
 	g.Expect(last.Leaving()).To(gomega.BeFalse(), "the next process does not")
+	later := f.Now().UnixMilli() + 1
+	last, _ = f.Take(NewBeat("a", "1", 9).WithOrder(later, 1))
+	g.Expect(last.Leaving()).To(gomega.BeFalse(), "nor does a later one with the same id")
 	for i := range 3 * maxLeft {
 		f.Leave(string(rune('c' + i)))
 	}
--- a/io/process/gtnode/idle.go
+++ b/io/process/gtnode/idle.go
@@ -1,6 +1,7 @@
 package gtnode
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -26,11 +27,12 @@
 // server that closes one in the moment in which a request arrives cuts that off,
 // so those that hold bytes are left to be served.
 type idleConns struct {
-	// notice is sent on a connection before its end; nil means nothing.
+	// notice is sent on a connection before its end; nil means nothing. A
+	// connection that has had no request yet is ended only with a notice.
 	notice []byte
 
 	mu    sync.Mutex
-	conns map[net.Conn]bool
+	conns map[net.Conn]bool // idle ones; false for those that were told the notice
 }
 
 // follow notes the state of a connection, as http.Server tells it.
@@ -40,11 +42,34 @@
 	if i.conns == nil {
 		i.conns = map[net.Conn]bool{}
 	}
-	if state == http.StateIdle {
+	idle, known := i.conns[c]
+	switch {
+	case state == http.StateClosed || state == http.StateHijacked:
+		delete(i.conns, c)
+	case known && !idle: // told the notice: it stays at that
+	case state == http.StateIdle, state == http.StateNew && i.notice != nil:
 		i.conns[c] = true
-		return
+	default:
+		delete(i.conns, c)
 	}
-	delete(i.conns, c)
+}
+
+// connKey is the key of the connection in the context of its requests.
+type connKey struct{}
+
+// withConn puts a connection into the context of its requests.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// told says whether the caller of a request was told that nothing ran on its
+// connection: then nothing may.
+func (i *idleConns) told(r *http.Request) bool {
+	c, _ := r.Context().Value(connKey{}).(net.Conn)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	idle, known := i.conns[c]
+	return known && !idle
 }
 
 // close closes the connections that hold no bytes, and returns how many it has
@@ -53,17 +78,21 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	left := 0
-	for c := range i.conns {
-		if pending(c) {
+	for c, idle := range i.conns {
+		switch {
+		case !idle:
+			continue
+		case pending(c):
 			left++
 			continue
-		}
-		if i.notice != nil {
+		case i.notice == nil:
+			delete(i.conns, c)
+		default:
+			i.conns[c] = false
 			_ = c.SetWriteDeadline(time.Now().Add(noticeLimit))
 			_, _ = c.Write(i.notice)
 		}
 		_ = c.Close()
-		delete(i.conns, c)
 	}
 	return left
 }
--- a/io/process/gtnode/idle_test.go
+++ b/io/process/gtnode/idle_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -69,3 +70,47 @@
 	g.Expect(resp.Header.Get(gthop.HeaderCertainty)).To(gomega.Equal("not run"))
 	g.Expect(resp.Close).To(gomega.BeTrue())
 }
+
+// "Not run" holds for a request that arrives while its caller is being told so:
+// the server has read it already, and may not run it.
+func TestRequestThatWasToldIsNotRun(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := &Node{}
+	n.server.callers.notice = endNotice
+	ran := 0
+	h := n.closing(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { ran++ }))
+	_, far := connect(t)
+	r := httptest.NewRequest("POST", "/", nil)
+	r = r.WithContext(withConn(r.Context(), far))
+	serve := func() { h.ServeHTTP(httptest.NewRecorder(), r) }
+	n.server.callers.follow(far, http.StateNew)
+	n.server.callers.follow(far, http.StateActive)
+	serve()
+	g.Expect(ran).To(gomega.Equal(1))
+	n.server.callers.follow(far, http.StateIdle)
+	g.Expect(n.server.callers.close()).To(gomega.BeZero())
+	n.server.callers.follow(far, http.StateActive)
+	g.Expect(serve).To(gomega.PanicWith(http.ErrAbortHandler))
+	g.Expect(ran).To(gomega.Equal(1))
+	n.server.callers.follow(far, http.StateClosed)
+	g.Expect(n.server.callers.conns).To(gomega.BeEmpty())
+}
+
+// Callers open connections ahead. One that has had no request yet ends like an
+// idle one where its caller can be told, and is left alone elsewhere.
+func TestNewConnectionsEndWithANotice(t *testing.T) {
+	g := gomega.NewWithT(t)
+	near, far := connect(t)
+	told := idleConns{notice: endNotice}
+	told.follow(far, http.StateNew)
+	told.close()
+	resp, err := http.ReadResponse(bufio.NewReader(near), nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusRequestTimeout))
+	var untold idleConns
+	_, other := connect(t)
+	untold.follow(other, http.StateNew)
+	untold.close()
+	_, err = other.Write([]byte("x"))
+	g.Expect(err).NotTo(gomega.HaveOccurred(), "it is open")
+}
--- a/io/process/gtnode/serve.go
+++ b/io/process/gtnode/serve.go
@@ -51,7 +51,6 @@
 // servers are the HTTP servers of a node.
 type servers struct {
 	edge, hop, admin *http.Server
-	peer             net.Listener
 	open             listeners
 	callers, nodes   idleConns // on edge and hop
 }
@@ -144,11 +143,12 @@
 	n.server.edge = n.newServer(n.closing(front))
 	n.server.hop = n.newServer(n.hop)
 	n.server.admin = n.newServer(n.adminMux())
-	n.server.peer, n.server.open = l.peer, l
+	n.server.open = l
 	n.server.edge.ConnState, n.server.hop.ConnState = n.server.callers.follow, n.server.nodes.follow
 	if n.Dialect.Refuse == nil { // others' callers may not know what to make of it
 		n.server.callers.notice = endNotice
 	}
+	n.server.edge.ConnContext = withConn
 	edge := &boundListener{Listener: l.edge, most: int64(n.Settings.Limit.Callers)}
 	for _, s := range []struct {
 		server *http.Server
@@ -167,6 +167,9 @@
 // closing asks callers to close their connections while the node drains.
 func (n *Node) closing(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.server.callers.told(r) {
+			panic(http.ErrAbortHandler) // the request crossed the end of its connection
+		}
 		if n.leaving.Load() {
 			w.Header().Set("Connection", "close")
 		}
@@ -200,7 +203,7 @@
 			_ = server.Close()
 		}
 	}
-	_ = s.peer.Close()
+	_ = s.open.peer.Close()
 }
 
 // close ends the servers and their connections at once.
@@ -208,7 +211,7 @@
 	for _, server := range []*http.Server{s.edge, s.hop, s.admin} {
 		_ = server.Close()
 	}
-	_ = s.peer.Close()
+	_ = s.open.peer.Close()
 }
 
 // boundListener closes connections beyond a number at once.
