--- a/core/request/gtroute/cut_test.go
+++ b/core/request/gtroute/cut_test.go
@@ -9,13 +9,12 @@
 
 	"godwittide/core/process/gtmember"
 	"godwittide/core/request/gtkind"
-	"godwittide/core/version/gtconfig"
 )
 
 // cutOff plays a node that is cut off from all backend servers of a service for
 // some seconds: a connection takes a second to fail. It returns how many requests
 // of that time waited for that, and when the first was served after it.
-func cutOff(seed uint64) (asked, waited int, back time.Duration) {
+func cutOff(g *gomega.WithT, seed uint64) (asked, waited int, back time.Duration) {
 	const (
 		cut   = 5 * time.Second
 		dial  = time.Second
@@ -32,9 +31,7 @@
 		Now: func() time.Time { return now }, Rand: rand.New(rand.NewPCG(seed, 9)).Float64, Zone: "own",
 		Service: func(string) []gtmember.Record { return list },
 	}
-	cfg, _ := gtconfig.Merge([]gtconfig.File{gtconfig.NewFile("x", []gtconfig.Entry{
-		gtconfig.NewEntry("x", 1, "service", "s", "timeout", gtconfig.StringValue("1s")),
-	})})
+	cfg := config(g)
 	type try struct {
 		name string
 		ends time.Time
@@ -71,7 +68,7 @@
 func TestCutOffNodeRefusesAtOnce(t *testing.T) {
 	g := gomega.NewWithT(t)
 	for seed := range uint64(20) {
-		asked, waited, back := cutOff(seed)
+		asked, waited, back := cutOff(g, seed)
 		t.Logf("%d asked, %d waited, served again after %s", asked, waited, back)
 		// All of the first second wait; of the others one in ten may, to find out.
 		const first = 100
--- a/core/request/gtroute/fault_test.go
+++ b/core/request/gtroute/fault_test.go
@@ -5,8 +5,6 @@
 	"testing"
 	"time"
 
-	"github.com/onsi/gomega"
-
 	"godwittide/core/process/gtmember"
 	"godwittide/core/request/gtkind"
 )
@@ -59,16 +57,4 @@
 
 // One server of three that fails half of its answers loses its zone's requests
 // to the others, and gets them back when it is well.
-func TestGreyServerLosesItsZonesRequests(t *testing.T) {
-	g := gomega.NewWithT(t)
-	var failed, naive, back float64
-	const seeds = 20
-	for seed := range uint64(seeds) {
-		f, b := greyServer(seed, true)
-		n, _ := greyServer(seed, false)
-		failed, back, naive = failed+f/seeds, back+b/seeds, naive+n/seeds
-	}
-	t.Logf("failed %.3f, by load alone %.3f; the server's part once it is well %.3f", failed, naive, back)
-	g.Expect(failed).To(gomega.BeNumerically("<", naive/2))
-	g.Expect(back).To(gomega.BeNumerically(">", 0.25))
-}
+func TestGreyServerLosesItsZonesRequests(t *testing.T) { losesRequests(t, greyServer) }
--- a/core/request/gtroute/load_test.go
+++ b/core/request/gtroute/load_test.go
@@ -12,6 +12,18 @@
 	"godwittide/core/version/gtconfig"
 )
 
+func entry(section, name, key, text string) gtconfig.Entry {
+	return gtconfig.NewEntry("x.toml", 1, section, name, key, gtconfig.StringValue(text))
+}
+
+// config returns a configuration with the service "s" and what more names.
+func config(g *gomega.WithT, more ...gtconfig.Entry) *gtconfig.Config {
+	entries := append([]gtconfig.Entry{entry("service", "s", "timeout", "1s")}, more...)
+	cfg, problems := gtconfig.Merge([]gtconfig.File{gtconfig.NewFile("x.toml", entries)})
+	g.Expect(problems).To(gomega.BeEmpty())
+	return cfg
+}
+
 // flap plays a steady load on two instances, one of which goes away for the
 // first second of each period and returns. It returns the time from its last
 // return to its next request, and the attempts that failed.
@@ -107,10 +119,7 @@
 		gtmember.NewRecord("a1", "z1", "", "").WithBackend("s", "1", 10).WithState(gtmember.Ready),
 		gtmember.NewRecord("b1", "z2", "", "").WithBackend("s", "1", 10).WithState(gtmember.Ready),
 	}
-	cfg, problems := gtconfig.Merge([]gtconfig.File{gtconfig.NewFile("x.toml", []gtconfig.Entry{
-		gtconfig.NewEntry("x.toml", 1, "service", "s", "timeout", gtconfig.StringValue("1s")),
-	})})
-	g.Expect(problems).To(gomega.BeEmpty())
+	cfg := config(g)
 	rt := &Router{
 		Now: func() time.Time { return time.Unix(1000, 0) }, Rand: func() float64 { return 0.5 }, Zone: "z1",
 		Service: func(string) []gtmember.Record { return list },
@@ -133,14 +142,8 @@
 // nothing, and the new one is not among the others.
 func TestMoveFromAnyOtherVersion(t *testing.T) {
 	g := gomega.NewWithT(t)
-	entry := func(section, name, key, text string) gtconfig.Entry {
-		return gtconfig.NewEntry("x.toml", 1, section, name, key, gtconfig.StringValue(text))
-	}
-	cfg, problems := gtconfig.Merge([]gtconfig.File{gtconfig.NewFile("x.toml", []gtconfig.Entry{
-		entry("service", "s", "timeout", "1s"), entry("move", "m", "service", "s"),
-		entry("move", "m", "from", gtconfig.Others), entry("move", "m", "to", "v3"), entry("move", "m", "within", "20s"),
-	})})
-	g.Expect(problems).To(gomega.BeEmpty())
+	cfg := config(g, entry("move", "m", "service", "s"), entry("move", "m", "from", gtconfig.Others),
+		entry("move", "m", "to", "v3"), entry("move", "m", "within", "20s"))
 	list := []gtmember.Record{
 		gtmember.NewRecord("a1", "z1", "", "").WithBackend("s", "v1", 10).WithState(gtmember.Ready),
 		gtmember.NewRecord("a2", "z1", "", "").WithBackend("s", "v2", 10).WithState(gtmember.Ready),
--- a/core/request/gtroute/pace_test.go
+++ b/core/request/gtroute/pace_test.go
@@ -106,15 +106,23 @@
 // and gets them back when it is well. By load alone, it keeps them as long as
 // it has a slot left.
 func TestSlowServerLosesItsZonesRequests(t *testing.T) {
+	losesRequests(t, slowServer)
+}
+
+// losesRequests plays a bad server of three, and expects that with all that its
+// node tells fewer than half as many requests suffer from it as by load alone,
+// and that it has a quarter of all again once it is well.
+func losesRequests(t *testing.T, play func(seed uint64, told bool) (bad, back float64)) {
+	t.Helper()
 	g := gomega.NewWithT(t)
-	var late, naive, back float64
+	var bad, naive, back float64
 	const seeds = 20
 	for seed := range uint64(seeds) {
-		l, b := slowServer(seed, true)
-		n, _ := slowServer(seed, false)
-		late, back, naive = late+l/seeds, back+b/seeds, naive+n/seeds
+		with, again := play(seed, true)
+		without, _ := play(seed, false)
+		bad, back, naive = bad+with/seeds, back+again/seeds, naive+without/seeds
 	}
-	t.Logf("late %.3f, by load alone %.3f; the server's part once it is well %.3f", late, naive, back)
-	g.Expect(late).To(gomega.BeNumerically("<", naive/2))
+	t.Logf("bad %.3f, by load alone %.3f; the server's part once it is well %.3f", bad, naive, back)
+	g.Expect(bad).To(gomega.BeNumerically("<", naive/2))
 	g.Expect(back).To(gomega.BeNumerically(">", 0.25))
 }
--- a/io/process/gtsoak/callers.go
+++ b/io/process/gtsoak/callers.go
@@ -46,12 +46,13 @@
 }
 
 // start starts a caller for each site, with connections of its own, until the
-// function that it returns is called.
-func (c *callers) start(ctx context.Context, edges []string, seed uint64) func() {
-	ctx, cancel := context.WithCancel(ctx)
+// function that it returns is called. What was begun by then goes on to its end,
+// unless the day is given up.
+func (c *callers) start(day context.Context, edges []string, seed uint64) func() {
+	ctx, cancel := context.WithCancel(day)
 	var wg sync.WaitGroup
 	for i := range edges {
-		wg.Go(func() { c.run(ctx, i, edges, rand.New(rand.NewPCG(seed, uint64(2+i)))) })
+		wg.Go(func() { c.run(ctx, day, i, edges, rand.New(rand.NewPCG(seed, uint64(2+i)))) })
 	}
 	return func() {
 		cancel()
@@ -59,7 +60,7 @@
 	}
 }
 
-func (c *callers) run(ctx context.Context, i int, edges []string, rnd *rand.Rand) {
+func (c *callers) run(ctx, day context.Context, i int, edges []string, rnd *rand.Rand) {
 	get := &gtlab.Load{Method: "GET", Path: "/lending/x", Limit: callLimit}
 	post := &gtlab.Load{Method: "POST", Path: "/lending/x", Limit: callLimit}
 	keyed := &gtlab.Load{Method: "POST", Path: "/lending/x", Limit: callLimit, Keys: true}
@@ -80,13 +81,13 @@
 		for range resends {
 			to = append(to, rnd.IntN(len(edges)))
 		}
-		wg.Go(func() { c.add(c.call(load, body, edges, to)) })
+		wg.Go(func() { c.add(c.call(day, load, body, edges, to)) })
 	}
 }
 
 // call sends a request, and one with a key again until it has an answer that
 // says what came of it.
-func (c *callers) call(load *gtlab.Load, body string, edges []string, to []int) call {
+func (c *callers) call(day context.Context, load *gtlab.Load, body string, edges []string, to []int) call {
 	out := call{method: load.Method, keyed: load.Keys}
 	for i, site := range to {
 		s := send{site, load.Send(edges[site], body, i > 0)}
@@ -94,7 +95,9 @@
 		if !load.Keys || s.Status != 0 && s.Kind == "" {
 			break
 		}
-		time.Sleep(resendAfter)
+		if gttimer.Pause(day, resendAfter) != nil {
+			break
+		}
 	}
 	return out
 }
--- a/io/process/gtsoak/proxy.go
+++ b/io/process/gtsoak/proxy.go
@@ -1,10 +1,13 @@
 package gtsoak
 
 import (
+	"context"
 	"io"
 	"net"
 	"sync"
 	"time"
+
+	"godwittide/core/process/gttimer"
 )
 
 // way is what a proxy does with the bytes that pass.
@@ -28,7 +31,8 @@
 
 // proxy stands before one port of a node, and spoils its connections on demand.
 type proxy struct {
-	to string
+	ctx context.Context // that of the day
+	to  string
 
 	ln      net.Listener
 	mu      sync.Mutex
@@ -127,8 +131,7 @@
 		case dead:
 			return false
 		case w == late:
-			time.Sleep(lateBy)
-			return true
+			return gttimer.Pause(p.ctx, lateBy) == nil
 		case w == silent, w == oneWay && forth:
 			<-changed
 		default:
--- a/io/process/gtsoak/site.go
+++ b/io/process/gtsoak/site.go
@@ -1,6 +1,7 @@
 package gtsoak
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -52,11 +53,11 @@
 }
 
 // write writes the node's settings. Its ports stay the same over restarts.
-func (s *site) write(dir, backend, store string, peers []string) error {
+func (s *site) write(ctx context.Context, dir, backend, store string, peers []string) error {
 	hop, peer := gtlab.FreeAddress(), gtlab.FreeAddress()
 	edge, admin := gtlab.FreeAddress(), gtlab.FreeAddress()
 	s.edge, s.admin = "http://"+edge, admin
-	s.hop, s.peer = &proxy{to: hop}, &proxy{to: peer}
+	s.hop, s.peer = &proxy{ctx: ctx, to: hop}, &proxy{ctx: ctx, to: peer}
 	for _, p := range []*proxy{s.hop, s.peer} {
 		if err := p.open(); err != nil {
 			return errorx.Decorate(err, "start a proxy")
--- a/io/process/gtsoak/soak.go
+++ b/io/process/gtsoak/soak.go
@@ -149,7 +149,7 @@
 		s.ended = func(s *site, err error) { r.find("node %s ended by itself: %v; see %s", s.name, err, s.log) }
 		s.backend = &gtstand.Backend{Name: s.name, Slots: 4 * slots, Work: work, Noise: 0.5, Restart: backendAway}
 		go func() { _ = s.backend.Run(r.ctx, ln) }()
-		if err := s.write(r.soak.Dir, ln.Addr().String(), r.lab.Endpoint(), peers); err != nil {
+		if err := s.write(r.ctx, r.soak.Dir, ln.Addr().String(), r.lab.Endpoint(), peers); err != nil {
 			return err
 		}
 		r.sites = append(r.sites, s)
--- a/io/request/gthop/handler_test.go
+++ b/io/request/gthop/handler_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -21,8 +20,8 @@
 )
 
 // late sends a request to a node that takes it only after its caller has left,
-// and returns how often the backend server ran it.
-func late(t *testing.T, network *gtpipe.Network, stalled bool) int64 {
+// as it stood still, and returns how often the backend server ran it.
+func late(t *testing.T, network *gtpipe.Network) int64 {
 	var runs atomic.Int64
 	backend := serve(t, network, func(w http.ResponseWriter, _ *http.Request) {
 		runs.Add(1)
@@ -32,7 +31,7 @@
 	go timer.Run(t.Context())
 	self := func() gtmember.Record { return gtmember.NewRecord("i", "z", "", "").WithBackend("s", "1", 1) }
 	h := &Handler{
-		Timer: timer, Body: 100, Stalled: func(time.Time) bool { return stalled },
+		Timer: timer, Body: 100, Stalled: func(time.Time) bool { return true },
 		Beside: &Beside{
 			Now: time.Now, Self: self, ReadyAt: time.Now, Address: backend, Buffer: 1000, Pool: newPool(t, network, false),
 			Gate: &gtadmit.Gate{Now: time.Now, Slots: 1}, Crashes: &gtonce.Crashes{Now: time.Now}, Ledger: &gtevidence.Ledger{},
@@ -47,11 +46,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, err = io.WriteString(conn, "GET /x HTTP/1.1\r\nHost: a\r\nGt-Call: 1/i/800//normal/s/r/0/0\r\n\r\n")
-	if err != nil {
+	if _, err := io.WriteString(conn, "GET /x HTTP/1.1\r\nHost: a\r\nGt-Call: 1/i/800//normal/s/r/0/0\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.Close(); err != nil {
 		t.Fatal(err)
 	}
-	leave(t, conn)
 	server := &http.Server{Handler: h}
 	go func() { _ = server.Serve(ln) }()
 	t.Cleanup(func() { _ = server.Close() })
@@ -59,17 +59,10 @@
 	return runs.Load()
 }
 
-func leave(t *testing.T, conn net.Conn) {
-	t.Helper()
-	if err := conn.Close(); err != nil {
-		t.Fatal(err)
-	}
-}
-
 // A request that waited in its connection while the node stood still, and whose
 // caller has left, does not go to the backend server.
 func TestRequestOfACallerThatLeftDuringAStandstillIsNotRun(t *testing.T) {
 	gtclock.Run(t, func(t *testing.T, network *gtpipe.Network) {
-		gomega.NewWithT(t).Expect(late(t, network, true)).To(gomega.BeZero())
+		gomega.NewWithT(t).Expect(late(t, network)).To(gomega.BeZero())
 	})
 }
--- /dev/null
+++ b/test/gtbuild/build.go
@@ -0,0 +1,22 @@
+// Package gtbuild builds the programs for specs that run them as processes.
+//
+// # Usage
+//
+//	dir := t.TempDir()
+//	if err := gtbuild.Programs(dir); err != nil { ... }
+package gtbuild
+
+import (
+	"os/exec"
+
+	"github.com/joomcode/errorx"
+)
+
+// Programs builds godwittide and godwitstand into a folder.
+func Programs(dir string) error {
+	out, err := exec.Command("go", "build", "-o", dir, "godwittide/cmd/godwittide", "godwittide/cmd/godwitstand").CombinedOutput()
+	if err != nil {
+		return errorx.Decorate(err, "build the programs: %s", out)
+	}
+	return nil
+}
--- a/test/path/path_test.go
+++ b/test/path/path_test.go
@@ -20,6 +20,7 @@
 	"github.com/onsi/gomega"
 
 	"godwittide/io/process/gtnode"
+	"godwittide/test/gtbuild"
 )
 
 func TestPath(t *testing.T) {
@@ -83,9 +84,7 @@
 
 func build() string {
 	dir := ginkgo.GinkgoT().TempDir()
-	cmd := exec.Command("go", "build", "-o", dir, "godwittide/cmd/godwittide", "godwittide/cmd/godwitstand")
-	out, err := cmd.CombinedOutput()
-	gomega.Expect(err).NotTo(gomega.HaveOccurred(), string(out))
+	gomega.Expect(gtbuild.Programs(dir)).To(gomega.Succeed())
 	return dir
 }
 
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -4,7 +4,6 @@
 
 import (
 	"os"
-	"os/exec"
 	"path/filepath"
 	"testing"
 	"time"
@@ -12,6 +11,7 @@
 	"github.com/onsi/gomega"
 
 	"godwittide/io/process/gtsoak"
+	"godwittide/test/gtbuild"
 )
 
 const (
@@ -34,9 +34,8 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	out, err := exec.Command("go", "build", "-o", dir, "godwittide/cmd/godwittide", "godwittide/cmd/godwitstand").CombinedOutput()
-	if err != nil {
-		println(string(out))
+	if err := gtbuild.Programs(dir); err != nil {
+		println(err.Error())
 		return 1
 	}
 	programs = dir
