--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -77,7 +77,7 @@
 		{"lie", "its answer says that it did not", 33}, // backend servers cut answers
 		{"twice", "ran 2 times", 1},
 		{"mix", "got another answer than its own", 1},
-		{"leave", "was cut off", 9}, // nodes are restarted in series
+		{"leave", "was cut off", 20}, // nodes are restarted in series, and little else touches them
 	} {
 		t.Run(plant.promise, func(t *testing.T) {
 			t.Parallel()
