gtcanary: late reports, counts of an old version, and the last counts of a move

Change: a report counts if it has a later start or a higher total; the counter starts again with each version, at a start that never goes back; ReportSchedule keeps what each driver has been sent.

--- a/cmd/godwitstand/table.go
+++ b/cmd/godwitstand/table.go
@@ -93,7 +93,7 @@
 			counter.Add(fmt.Sprintf("route-%d", i), gtcanary.NewOutcome(k%100 == 0, latency))
 		}
 	}
-	b, err := json.Marshal(gtwire.FromReport(counter.Report("service-1-instance-1", 1, "1")))
+	b, err := json.Marshal(gtwire.FromReport(counter.Report("service-1-instance-1", "1")))
 	if err != nil {
 		return 0, errorx.Decorate(err, "encode a report of request outcomes")
 	}
--- a/core/version/gtcanary/counter.go
+++ b/core/version/gtcanary/counter.go
@@ -5,7 +5,8 @@
 //
 //	counter := &gtcanary.OutcomeCounter{} // one for each backend server
 //	counter.Add("book", gtcanary.NewOutcome(failed, latency))
-//	report := counter.Report(instance, startMillis, version)
+//	counter.Restart(startMillis)
+//	report := counter.Report(instance, version)
 //
 //	judge := &gtcanary.Judge{Now: timer.Time, From: "1", To: "2", Threshold: gtcanary.PooledThreshold}
 //	judge.AddReport(report) // at the driver of the move
@@ -141,11 +142,30 @@
 // Routes returns the counts by route. The map is shared and must not be changed.
 func (r Report) Routes() map[string]Counts { return r.routes }
 
+// Total returns the number of requests on all routes.
+func (r Report) Total() uint64 {
+	var n uint64
+	for _, c := range r.routes {
+		n += c.total
+	}
+	return n
+}
+
+// isNewerThan reports whether r was made after old, another report of the same
+// instance. Counts only grow between two starts.
+func (r Report) isNewerThan(old Report) bool {
+	if r.startMillis != old.startMillis {
+		return r.startMillis > old.startMillis
+	}
+	return r.Total() > old.Total()
+}
+
 // OutcomeCounter counts outcomes, sharded by route.
 type OutcomeCounter struct {
-	counts gtshard.Map[*Counts]
-	mu     sync.Mutex
-	routes int
+	counts      gtshard.Map[*Counts]
+	mu          sync.Mutex
+	routes      int
+	startMillis uint64
 }
 
 // Add counts an outcome on a route. Once MaxRoutes routes are known, all further
@@ -184,10 +204,28 @@
 	return true
 }
 
-// Report returns a copy of all counts so far, as the report of the given
-// instance.
-func (oc *OutcomeCounter) Report(instance string, startMillis uint64, version string) Report {
-	r := Report{instance: instance, startMillis: startMillis, version: version, routes: map[string]Counts{}}
+// Restart sets all counts to zero, since the backend server has started or runs
+// another version. The time is in milliseconds since the Unix epoch; if it is not
+// after that of the last restart, the next millisecond is taken.
+func (oc *OutcomeCounter) Restart(millis uint64) {
+	oc.mu.Lock()
+	defer oc.mu.Unlock()
+	oc.startMillis = max(millis, oc.startMillis+1)
+	oc.routes = 0
+	oc.counts.Each(func(m map[string]*Counts) { clear(m) })
+}
+
+// start returns the time of the last restart.
+func (oc *OutcomeCounter) start() uint64 {
+	oc.mu.Lock()
+	defer oc.mu.Unlock()
+	return oc.startMillis
+}
+
+// Report returns a copy of all counts since the last restart, as the report of the
+// given instance, which runs the given version.
+func (oc *OutcomeCounter) Report(instance, version string) Report {
+	r := Report{instance: instance, startMillis: oc.start(), version: version, routes: map[string]Counts{}}
 	oc.counts.Each(func(m map[string]*Counts) {
 		for route, c := range m {
 			r.routes[route] = *c
--- a/core/version/gtcanary/judge.go
+++ b/core/version/gtcanary/judge.go
@@ -95,8 +95,8 @@
 }
 
 // AddReport adds the outcomes counted since the last report of r's instance.
-// Reports from before the last known restart of the instance, and of versions that
-// are not compared, are ignored.
+// Reports from before the last known restart of the instance, those that are older
+// than the last one, and those of versions that are not compared are ignored.
 func (j *Judge) AddReport(r Report) {
 	if !j.compares(r.version) {
 		return
@@ -106,10 +106,10 @@
 	j.decayElapsed()
 	defer j.updateAlarmLevel()
 	last, ok := j.lastReports[r.instance]
-	if ok && last.startMillis > r.startMillis {
+	if ok && !r.isNewerThan(last) {
 		return
 	}
-	if !ok || last.startMillis != r.startMillis || last.version != r.version {
+	if !ok || last.startMillis != r.startMillis {
 		last = Report{}
 	}
 	j.lastReports[r.instance] = r
--- a/core/version/gtcanary/judge_test.go
+++ b/core/version/gtcanary/judge_test.go
@@ -90,12 +90,13 @@
 	for seed := range uint64(50) {
 		rnd := rand.New(rand.NewPCG(seed, 4))
 		var counter OutcomeCounter
+		counter.Restart(7)
 		var reports []Report
 		for range 20 {
 			for range 10 {
 				counter.Add("r", behaviour{0.3, time.Millisecond}.outcome(rnd))
 			}
-			reports = append(reports, counter.Report("i", 7, "2"))
+			reports = append(reports, counter.Report("i", "2"))
 		}
 		j := &Judge{Now: func() time.Time { return time.Unix(1000, 0) }, From: "1", To: "2", Threshold: math.Inf(1)}
 		for _, r := range reports {
@@ -120,7 +121,7 @@
 	for i := range 2 * MaxRoutes {
 		counter.Add(string(rune('a'+i)), NewOutcome(false, time.Hour))
 	}
-	routes := counter.Report("i", 1, "1").Routes()
+	routes := counter.Report("i", "1").Routes()
 	g.Expect(len(routes)).To(gomega.BeNumerically("<=", MaxRoutes+1))
 	g.Expect(routes[""].Total()).To(gomega.Equal(uint64(MaxRoutes)))
 	for _, d := range []time.Duration{0, time.Microsecond, time.Millisecond, time.Second, time.Hour} {
@@ -131,3 +132,23 @@
 		}
 	}
 }
+
+// Reports travel on several links, so an older one may arrive after a newer one.
+// It holds nothing new.
+func TestLateReportIsNotCountedAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	j := &Judge{Now: func() time.Time { return time.Unix(1000, 0) }, From: "1", To: "2", Threshold: PooledThreshold}
+	report := func(total uint64) Report {
+		return NewReport("a", 1, "2", map[string]Counts{"r": NewCounts(total, 0, nil)})
+	}
+	for _, total := range []uint64{10, 20, 10, 20, 15} {
+		j.AddReport(report(total))
+	}
+	g.Expect(j.StepRequests()).To(gomega.Equal(uint64(20)))
+	j.AddReport(report(25))
+	g.Expect(j.StepRequests()).To(gomega.Equal(uint64(25)))
+	j.AddReport(NewReport("a", 2, "2", map[string]Counts{"r": NewCounts(5, 0, nil)}))
+	g.Expect(j.StepRequests()).To(gomega.Equal(uint64(30)), "after a restart the counts begin at zero")
+	j.AddReport(report(25))
+	g.Expect(j.StepRequests()).To(gomega.Equal(uint64(30)), "a report from before the restart")
+}
--- a/core/version/gtmove/move_test.go
+++ b/core/version/gtmove/move_test.go
@@ -145,7 +145,7 @@
 		for v := range 2 {
 			for i := range 4 {
 				name := fmt.Sprintf("%d-%d", v+1, i)
-				judge.AddReport(counters[name].Report(name, 1, fmt.Sprint(v+1)))
+				judge.AddReport(counters[name].Report(name, fmt.Sprint(v+1)))
 			}
 		}
 		alarm := ""
--- a/io/connection/gtwire/wire_test.go
+++ b/io/connection/gtwire/wire_test.go
@@ -24,9 +24,10 @@
 	g.Expect(decoded).To(gomega.Equal(r))
 
 	counter := &gtcanary.OutcomeCounter{}
+	counter.Restart(3)
 	counter.Add("a", gtcanary.NewOutcome(false, 3*time.Millisecond))
 	counter.Add("a", gtcanary.NewOutcome(true, time.Second))
-	report := counter.Report("i", 3, "2")
+	report := counter.Report("i", "2")
 	b, _ = json.Marshal(FromReport(report))
 	var reportMessage Report
 	g.Expect(json.Unmarshal(b, &reportMessage)).To(gomega.Succeed())
--- a/io/process/gtnode/drive.go
+++ b/io/process/gtnode/drive.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,14 +17,13 @@
 	// drivePeriod is the period at which outcome counts are reported and moves are
 	// evaluated.
 	drivePeriod = 250 * time.Millisecond
-	// standbyReportInterval is the number of reports to the first-ranked driver per
-	// report to the others.
-	standbyReportInterval = 4
 	// standbyDelay is the additional delay per rank before a driver writes a due
 	// change, so that normally only the first-ranked one writes it.
 	standbyDelay = 2 * time.Second
 	// reportRetention is how long the last report of an instance is kept.
 	reportRetention = 10 * time.Minute
+	// maxReports bounds the number of instances whose last report is kept.
+	maxReports = 16 << 10
 )
 
 // judges holds the judges of the active moves: pooled ones, fed by the reports of
@@ -62,7 +62,7 @@
 	if j.latest == nil {
 		j.latest = map[string]timedReport{}
 	}
-	if len(j.latest) < 4096 {
+	if _, known := j.latest[r.Instance()]; known || len(j.latest) < maxReports {
 		j.latest[r.Instance()] = timedReport{r, j.now()}
 	}
 	for _, p := range j.pooled {
@@ -131,8 +131,7 @@
 func (n *Node) driveMoves(ctx context.Context) {
 	ticker := n.timer.Every(drivePeriod, 0.1)
 	defer ticker.Stop()
-	var reported uint64
-	round := 0
+	var schedule gtcanary.ReportSchedule
 	for {
 		select {
 		case <-ctx.Done():
@@ -152,13 +151,7 @@
 			continue
 		}
 		drivers := n.drivers(m)
-		// The other drivers are sent fewer reports, since they write a change only
-		// after a delay.
-		recipients := drivers
-		if round++; round%standbyReportInterval != 0 {
-			recipients = drivers[:min(1, len(drivers))]
-		}
-		reported = n.sendReport(ctx, recipients, reported)
+		n.sendReport(ctx, drivers, &schedule)
 		for rank, r := range drivers {
 			if r.Instance() == n.Settings.Node.Instance {
 				n.driveMove(ctx, m, rank)
@@ -190,26 +183,27 @@
 	return -1
 }
 
-// sendReport sends the node's outcome counts to the drivers if their total differs
-// from the one last reported. It returns the total reported by now; a failed
-// report leaves it unchanged, so that it is sent again.
-func (n *Node) sendReport(ctx context.Context, drivers []gtmember.Record, reported uint64) uint64 {
+// sendReport sends the node's outcome counts to the drivers that are due for them. A
+// failed report is sent again in the driver's next round.
+func (n *Node) sendReport(ctx context.Context, drivers []gtmember.Record, schedule *gtcanary.ReportSchedule) {
 	self := n.table.Self()
-	r := n.outcomes.Report(self.Instance(), uint64(n.startTime.UnixMilli()), self.Version())
-	var total uint64
-	for _, c := range r.Routes() {
-		total += c.Total()
-	}
-	if total == reported {
-		return reported
-	}
-	for _, to := range drivers {
+	r := n.outcomes.Report(self.Instance(), self.Version())
+	names := make([]string, len(drivers))
+	for i, d := range drivers {
+		names[i] = d.Instance()
+	}
+	schedule.Keep(names)
+	due := schedule.Due(names, r)
+	for i, to := range drivers {
+		if !slices.Contains(due, names[i]) {
+			continue
+		}
 		if err := n.overlay.SendReport(ctx, to, r); err != nil {
 			n.Log.Debug().Err(err).Str("driver", to.Instance()).Msg("move: sending the report to a driver failed")
-			total = reported
+			continue
 		}
+		schedule.Sent(names[i], r)
 	}
-	return total
 }
 
 // driveMove evaluates a move and writes its next state, if a change is due. Drivers
