--- a/core/request/gtadmission/gate_test.go
+++ b/core/request/gtadmission/gate_test.go
@@ -284,3 +284,17 @@
 	g.Expect(high.Granted()).To(gomega.BeClosed())
 	g.Expect(low.Granted()).NotTo(gomega.BeClosed())
 }
+
+// A refusal by the server during the hold after a rise of latency lowers the limit
+// further. It must not end that hold.
+func TestRefusalDoesNotEndAHold(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(1000, 0)
+	l := &limiter{}
+	l.reset(100, now)
+	l.limit = 50
+	l.shrink(40, now)
+	l.observeShed(30, now.Add(100*time.Millisecond))
+	g.Expect(l.current()).To(gomega.Equal(30))
+	g.Expect(l.holdUntil).To(gomega.BeTemporally(">=", now.Add(100*time.Millisecond+minHold)))
+}
--- a/core/request/gtadmission/limit.go
+++ b/core/request/gtadmission/limit.go
@@ -166,13 +166,15 @@
 // observeShed decreases the limit after the backend server refused a request
 // while the given number of other requests were running, since it can't handle
 // more than those. Each such decrease after the end of a hold doubles the time of
-// the next hold, up to maxHold; grow resets it.
+// the next hold, up to maxHold; grow resets it. A hold that began for another reason
+// is not shortened.
 func (l *limiter) observeShed(running int, now time.Time) {
 	if !l.decrease(float64(running), now) {
 		return
 	}
 	if now.After(l.holdUntil) {
-		l.holdTime = min(max(2*l.holdTime, minHold), maxHold)
+		l.holdTime = min(2*l.holdTime, maxHold)
 	}
+	l.holdTime = max(l.holdTime, minHold)
 	l.holdUntil = now.Add(l.holdTime)
 }
--- a/core/request/gtdedup/crashes.go
+++ b/core/request/gtdedup/crashes.go
@@ -90,6 +90,9 @@
 	updated := false
 	cs.records.Do(key, func(m map[string]Crash) {
 		old := m[key]
+		if now.After(old.expires) {
+			old = Crash{}
+		}
 		if old.count >= c.count && (old.nonIdempotent || !c.nonIdempotent) {
 			return
 		}
--- a/core/request/gtdedup/keys.go
+++ b/core/request/gtdedup/keys.go
@@ -12,7 +12,7 @@
 //	...
 //	}
 //
-// Keys are kept for Window. A request that is marked as a resend is refused
+// Keys are kept for Window, and while their request is running. A request that is marked as a resend is refused
 // rather than run if this node can't know whether the first one ran.
 package gtdedup
 
@@ -125,7 +125,7 @@
 	verdict := Run
 	k.entries.Do(key, func(m map[string]*Entry) {
 		entry = m[key]
-		if entry != nil && now.After(entry.expires) {
+		if entry != nil && entry.expired(now) {
 			delete(m, key)
 			k.unreserve(entry)
 			entry = nil
@@ -188,6 +188,14 @@
 	}
 }
 
+// expired reports whether the entry may be deleted. One whose request is running
+// is kept for as long as that takes, or the request could run a second time.
+func (e *Entry) expired(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.status != statusRunning && now.After(e.expires)
+}
+
 // Settled returns a channel that is closed when the request is no longer running.
 func (e *Entry) Settled() <-chan struct{} {
 	e.mu.Lock()
@@ -269,7 +277,7 @@
 	now := k.Now()
 	k.entries.Each(func(m map[string]*Entry) {
 		for key, e := range m {
-			if now.After(e.expires) {
+			if e.expired(now) {
 				delete(m, key)
 				k.unreserve(e)
 			}
--- a/core/version/gtconfig/config.go
+++ b/core/version/gtconfig/config.go
@@ -248,6 +248,7 @@
 type Config struct {
 	services     map[string]Service
 	routes       []Route
+	routeNames   map[string]bool
 	routesByPath map[string][]Route
 	moves        []Move
 	moveIndex    map[string]int
@@ -277,6 +278,9 @@
 // not be changed.
 func (c *Config) Routes() []Route { return c.routes }
 
+// HasRoute reports whether there is a route with the given name.
+func (c *Config) HasRoute(name string) bool { return c.routeNames[name] }
+
 // Moves returns all moves, ordered by name. The slice is shared and must not be
 // changed.
 func (c *Config) Moves() []Move { return c.moves }
--- a/core/version/gtconfig/merge.go
+++ b/core/version/gtconfig/merge.go
@@ -126,7 +126,7 @@
 // build checks the collected entries against each other and returns the
 // configuration, which is valid only if no problem was reported.
 func (m *merger) build() *Config {
-	cfg := &Config{services: map[string]Service{}, routesByPath: map[string][]Route{}, moveIndex: map[string]int{}, drainedZones: map[string]bool{}}
+	cfg := &Config{services: map[string]Service{}, routeNames: map[string]bool{}, routesByPath: map[string][]Route{}, moveIndex: map[string]int{}, drainedZones: map[string]bool{}}
 	for _, name := range m.sortedNames("service") {
 		cfg.services[name] = m.service(name, m.sections["service"][name])
 	}
@@ -145,6 +145,7 @@
 	}
 	sortRoutes(cfg.routes)
 	for _, r := range cfg.routes {
+		cfg.routeNames[r.name] = true
 		cfg.routesByPath[r.path] = append(cfg.routesByPath[r.path], r)
 	}
 	cfg.checksum = m.checksum()
--- a/io/connection/gtpool/pool.go
+++ b/io/connection/gtpool/pool.go
@@ -53,6 +53,9 @@
 	IsMismatched func(req *http.Request, resp *http.Response) bool
 	// MaxConns is the maximum number of connections to one address, in use and idle.
 	MaxConns int
+	// ConnLimit returns a further limit on the number of connections to one address,
+	// which may change; 0 means none. A nil ConnLimit sets none.
+	ConnLimit func() int
 
 	idle   gtshard.Map[[]*conn]
 	open   gtshard.Map[int]
@@ -168,10 +171,11 @@
 	}
 }
 
-// dial opens a connection. It fails with Full if MaxConns connections are in use.
+// dial opens a connection. It fails with Full if all connections that are allowed
+// are in use.
 func (p *Pool) dial(ctx context.Context, addr, class string) (*conn, error) {
 	if !p.reserve(addr) {
-		return nil, gtkind.New(gtkind.Full, "all %d connections to %s are in use", p.MaxConns, addr)
+		return nil, gtkind.New(gtkind.Full, "all %d connections to %s are in use", p.maxConns(), addr)
 	}
 	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
 	defer cancel()
@@ -184,7 +188,7 @@
 }
 
 // reserve counts a new connection to addr and reports whether it may be opened.
-// If MaxConns is reached, it closes an idle connection of any class to make room.
+// If the limit is reached, it closes an idle connection of any class to make room.
 func (p *Pool) reserve(addr string) bool {
 	if p.tryReserve(addr) {
 		return true
@@ -198,12 +202,22 @@
 	return false
 }
 
-// tryReserve counts a new connection to addr and reports true, unless MaxConns is
-// reached.
+// maxConns returns the number of connections to one address that are allowed now.
+func (p *Pool) maxConns() int {
+	if p.ConnLimit != nil {
+		if limit := p.ConnLimit(); limit > 0 {
+			return min(limit, p.MaxConns)
+		}
+	}
+	return p.MaxConns
+}
+
+// tryReserve counts a new connection to addr and reports true, unless as many as
+// are allowed are open.
 func (p *Pool) tryReserve(addr string) bool {
-	ok := false
+	ok, limit := false, p.maxConns()
 	p.open.Do(addr, func(m map[string]int) {
-		if m[addr] < p.MaxConns {
+		if m[addr] < limit {
 			m[addr]++
 			ok = true
 		}
--- a/io/process/gtnode/backend.go
+++ b/io/process/gtnode/backend.go
@@ -92,6 +92,13 @@
 	return d.DialContext(ctx, "tcp", addr)
 }
 
+// backendConnLimit returns the number of connections to the backend server that its
+// service allows, or 0 if the configuration sets none.
+func (n *Node) backendConnLimit() int {
+	service, _ := n.holder.Current().Config().Service(n.Settings.Backend.Service)
+	return service.MaxConnections()
+}
+
 // initBackendState sets the initial state of the backend server: it probes the
 // server once, or closes the admission gate until the first heartbeat.
 func (n *Node) initBackendState(ctx context.Context) {
@@ -159,6 +166,9 @@
 	n.limitWarmUpRate()
 	self := n.table.Self()
 	changed := self.Version() != h.Version() || self.Slots() != h.Slots()
+	if self.Version() != h.Version() {
+		n.outcomes.Restart(uint64(n.timer.Time().UnixMilli()))
+	}
 	if changed {
 		n.table.SetSelfBackend(h.Version(), h.Slots(), self.State())
 	}
--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -263,10 +263,12 @@
 	split := &gtsplit.Split{Rand: rand.Float64}
 	n.retry = &gtretry.Policy{Now: now}
 	n.outcomes = &gtcanary.OutcomeCounter{}
+	n.outcomes.Restart(uint64(n.startTime.UnixMilli()))
 	n.router = &gtroute.Router{Now: now, Rand: rand.Float64, Zone: cfg.Node.Zone, Instances: n.table.ServiceMembers, MoveShare: n.moves.Share}
 	n.hopPool = &gtpool.Pool{Dial: n.dialNode, Now: now, SupportsPing: true, MaxConns: cfg.Backend.MaxConnections}
 	n.backendPool = &gtpool.Pool{
 		Dial: n.dialBackend, Now: now, MaxConns: cfg.Backend.MaxConnections, MaxReuseIdle: time.Duration(cfg.Backend.MaxReuseIdle), IsMismatched: n.IsMismatched,
+		ConnLimit: n.backendConnLimit,
 	}
 	n.localBackend = &gthop.LocalBackend{
 		Now: now, Self: n.table.Self, Address: cfg.Backend.Address, MaxBufferBytes: cfg.Limit.MaxBufferBytes, Pool: n.backendPool,
@@ -360,6 +362,7 @@
 			n.dedup.Expire()
 			n.requestLog.Flush()
 			n.moves.Prune(n.holder.Current().Config(), gtmember.GoneRetention)
+			n.edge.Expire()
 			n.updateGauges()
 		}
 	}
--- a/io/request/gtedge/edge.go
+++ b/io/request/gtedge/edge.go
@@ -189,6 +189,9 @@
 		WithDeadline(start.Add(e.Dialect.ShortenTimeout(r, e.timeout(cfg, route, service)))), nil
 }
 
+// Expire deletes the state of routes that the active configuration no longer has.
+func (e *Edge) Expire() { e.Split.Prune(e.Holder.Current().Config().HasRoute) }
+
 // newID returns an ID for a request that has none.
 func (e *Edge) newID() string { return e.IDPrefix + strconv.FormatUint(e.seq.Add(1), 36) }
 
--- a/io/request/gthop/localbackend.go
+++ b/io/request/gthop/localbackend.go
@@ -108,7 +108,7 @@
 		entry, verdict := b.Keys.Begin(id, c.Fingerprint(), claim)
 		switch verdict {
 		case gtdedup.Run:
-			return b.admit(ctx, c, func(resp gtcall.Response, err error) { settleEntry(entry, resp, err) })
+			return b.runAndSettle(ctx, c, entry)
 		case gtdedup.Wait:
 			select {
 			case <-entry.Settled():
@@ -123,6 +123,20 @@
 	}
 }
 
+// runAndSettle runs a request and settles its entry, also if the request panics.
+func (b *LocalBackend) runAndSettle(ctx context.Context, c gtcall.Call, entry *gtdedup.Entry) (gtcall.Response, error) {
+	settled := false
+	defer func() {
+		if !settled {
+			entry.SettleUnknown()
+		}
+	}()
+	return b.admit(ctx, c, func(resp gtcall.Response, err error) {
+		settleEntry(entry, resp, err)
+		settled = true
+	})
+}
+
 // settleEntry settles the entry of a request with its outcome. A streamed response
 // isn't kept, so that resends get OutcomeUnknown.
 func settleEntry(entry *gtdedup.Entry, resp gtcall.Response, err error) {
