cmd, gttls, gttimeline, gtsettings: small faults that operators would meet

Cause, by reading, each with a test that was red: - config diff printed added, changed and removed files in random order; a push of 100 files and config status printed 100 names in one line. - explain took "b-1 serves ..." for the name of an instance. - log.level and log.format were not checked with the other settings. - a certificate or key that was replaced by an older file was not loaded, as only the latest time of the three was compared.

--- a/cmd/godwittide/config.go
+++ b/cmd/godwittide/config.go
@@ -101,6 +101,7 @@
 	Author    string        `help:"Author to record with the push; by default the current user." env:"GODWITTIDE_AUTHOR"`
 	Force     bool          `help:"Overwrite what others have pushed since the folder was pulled."`
 	Unchecked bool          `help:"Skip the local check and leave it to the nodes."`
+	All       bool          `help:"Print the names of all files, however many."`
 	Wait      time.Duration `help:"Wait at most this long until the push is active on every node; queries the node at --admin." placeholder:"TIME"`
 }
 
@@ -153,7 +154,7 @@
 	if err := writeBase(c.Dir, seq); err != nil {
 		return err
 	}
-	env.Printf("push %d: %s\n", seq, strings.Join(names, ", "))
+	env.Printf("push %d: %s\n", seq, listNames(names, c.All))
 	if c.Wait == 0 {
 		return env.PrintIfJSON(map[string]any{"push": seq, "files": names})
 	}
@@ -186,7 +187,7 @@
 	head := latest.View().Head()
 	return errorx.RejectedOperation.New(
 		"push refused, nothing was changed: push %d by %s changed %s after this folder was pulled; your changes are in %s. Run config pull into another folder, merge, and push again, or use --force",
-		head.Seq(), head.Author(), strings.Join(head.Files(), ", "), strings.Join(names, ", "))
+		head.Seq(), head.Author(), listNames(head.Files(), true), listNames(names, true))
 }
 
 // wait polls the progress of the push until it is active on every node. It
@@ -282,25 +283,16 @@
 	if err != nil {
 		return err
 	}
-	newTexts, removed := gtdelta.Changes(old, files)
-	changed, added := []string{}, []string{}
-	for _, name := range slices.Sorted(maps.Keys(newTexts)) {
-		if _, ok := old[name]; ok {
-			changed = append(changed, name)
-		} else {
-			added = append(added, name)
-		}
-	}
-	for change, names := range map[string][]string{"added": added, "changed": changed, "removed": removed} {
-		for _, name := range names {
-			env.Printf("%-8s %s\n", change, name)
-		}
+	d := newFolderDiff(old, files)
+	for _, line := range d.lines() {
+		env.Printf("%s\n", line)
 	}
-	return env.PrintIfJSON(map[string]any{"added": added, "changed": changed, "removed": removed})
+	return env.PrintIfJSON(d)
 }
 
 type configStatus struct {
 	storeOption
+	All bool `help:"Print the names of all files of the latest push, however many."`
 }
 
 // Help returns examples.
@@ -316,7 +308,7 @@
 		return err
 	}
 	head, record, v := s.View().Head(), s.View().Record(), s.LastVerdict()
-	env.Printf("latest push    %d by %s: %s\n", head.Seq(), head.Author(), strings.Join(head.Files(), ", "))
+	env.Printf("latest push    %d by %s: %s\n", head.Seq(), head.Author(), listNames(head.Files(), c.All))
 	env.Printf("accepted       version %d, from push %d, checksum %s\n", record.Version(), record.Push(), record.Checksum())
 	switch {
 	case len(v.Problems) > 0 && v.Seq == head.Seq():
--- a/io/connection/gttls/tls.go
+++ b/io/connection/gttls/tls.go
@@ -30,11 +30,20 @@
 	CertFile, KeyFile, CAFile string
 
 	mu      sync.Mutex
-	modTime time.Time
+	files   [fileCount]fileState
 	keyPair *tls.Certificate
 	roots   *x509.CertPool
 }
 
+// fileCount is the number of files of Credentials.
+const fileCount = 3
+
+// fileState tells whether a file has been replaced, also by an older one.
+type fileState struct {
+	modTime time.Time
+	size    int64
+}
+
 // Config returns a configuration for both servers and clients.
 func (creds *Credentials) Config() *tls.Config {
 	return &tls.Config{
@@ -65,12 +74,12 @@
 	return creds.keyPair, nil
 }
 
-// reloadIfChanged reads the files if their latest modification time has changed.
-// If that fails, the contents that were loaded before stay in use. The caller holds
-// the lock.
+// reloadIfChanged reads the files if the modification time or the size of one has
+// changed. If that fails, the contents that were loaded before stay in use. The
+// caller holds the lock.
 func (creds *Credentials) reloadIfChanged() error {
-	modTime, err := latestModTime(creds.CertFile, creds.KeyFile, creds.CAFile)
-	if err == nil && creds.keyPair != nil && modTime.Equal(creds.modTime) {
+	files, err := creds.fileStates()
+	if err == nil && creds.keyPair != nil && files == creds.files {
 		return nil
 	}
 	if err == nil {
@@ -79,23 +88,21 @@
 	if err != nil && creds.keyPair == nil {
 		return err
 	}
-	creds.modTime = modTime
+	creds.files = files
 	return nil
 }
 
-// latestModTime returns the latest modification time of the files.
-func latestModTime(files ...string) (time.Time, error) {
-	var modTime time.Time
-	for _, f := range files {
+// fileStates returns the present state of each file.
+func (creds *Credentials) fileStates() ([fileCount]fileState, error) {
+	var states [fileCount]fileState
+	for i, f := range [fileCount]string{creds.CertFile, creds.KeyFile, creds.CAFile} {
 		info, err := os.Stat(f)
 		if err != nil {
-			return modTime, errorx.Decorate(err, "get the modification time of a TLS file")
-		}
-		if info.ModTime().After(modTime) {
-			modTime = info.ModTime()
+			return states, errorx.Decorate(err, "get the modification time of a TLS file")
 		}
+		states[i] = fileState{modTime: info.ModTime(), size: info.Size()}
 	}
-	return modTime, nil
+	return states, nil
 }
 
 // readFiles loads the contents of the files. It changes nothing if it fails.
--- a/io/connection/gttls/tls_test.go
+++ b/io/connection/gttls/tls_test.go
@@ -79,3 +79,26 @@
 	g.Expect(ours.Check()).To(gomega.Succeed(), "the loaded certificate stays in use")
 	g.Expect((&gttls.Credentials{CertFile: ours.CertFile, KeyFile: ours.KeyFile, CAFile: ours.CAFile}).Check()).NotTo(gomega.Succeed())
 }
+
+// An operator who puts earlier files back, with their times, gets them.
+func TestFilesReplacedByOlderOnesAreReloaded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	dir := t.TempDir()
+	ours := issue(t, dir)
+	g.Expect(ours.Check()).To(gomega.Succeed())
+	fresh := issue(t, dir)
+	earlier := time.Now().Add(-time.Hour)
+	for _, f := range []string{ours.CertFile, ours.KeyFile} {
+		g.Expect(os.Chtimes(f, earlier, earlier)).To(gomega.Succeed())
+	}
+	later := time.Now().Add(time.Hour)
+	g.Expect(os.Chtimes(ours.CAFile, later, later)).To(gomega.Succeed())
+	g.Expect(ours.Check()).To(gomega.Succeed())
+	g.Expect(exchangeBytes(t, ours.Config(), fresh.Config())).To(gomega.Succeed())
+	again := issue(t, dir)
+	g.Expect(os.Chtimes(ours.CAFile, later, later)).To(gomega.Succeed())
+	for _, f := range []string{ours.CertFile, ours.KeyFile} {
+		g.Expect(os.Chtimes(f, earlier.Add(-time.Hour), earlier.Add(-time.Hour))).To(gomega.Succeed())
+	}
+	g.Expect(exchangeBytes(t, ours.Config(), again.Config())).To(gomega.Succeed(), "certificate and key are older than the CA file")
+}
--- a/io/process/gtsettings/settings.go
+++ b/io/process/gtsettings/settings.go
@@ -23,6 +23,7 @@
 
 	"github.com/joomcode/errorx"
 	"github.com/pelletier/go-toml/v2"
+	"github.com/rs/zerolog"
 )
 
 // Sample is a settings file with every key, its default and a comment.
@@ -300,6 +301,12 @@
 	if s.Backend.MaxReuseIdle < 0 || s.Limit.LingerPeriod < 0 {
 		return errors.New("backend.idle, limit.linger: must not be below 0")
 	}
+	if _, err := zerolog.ParseLevel(s.Log.Level); err != nil || s.Log.Level == "" {
+		return fmt.Errorf("log.level: use debug, info, warn or error, found %q", s.Log.Level)
+	}
+	if s.Log.Format != "json" && s.Log.Format != "text" {
+		return fmt.Errorf("log.format: use json or text, found %q", s.Log.Format)
+	}
 	if s.Trace.Ratio < 0 || s.Trace.Ratio > 1 {
 		return errors.New("trace.ratio: must be from 0 to 1")
 	}
--- a/io/process/gtsettings/settings_test.go
+++ b/io/process/gtsettings/settings_test.go
@@ -48,6 +48,9 @@
 		strings.Replace(validSettings, `"127.0.0.1:9000"`, `"nine"`, 1):                                       "backend.address: expected an IP",
 		validSettings + "[node]\n":                                                                            "x.toml:9",
 		validSettings + "[trace]\nratio = 7.0\n":                                                              "trace.ratio: must be from 0 to 1",
+		validSettings + "[log]\nlevel = \"loud\"\n":                                                           "log.level: use debug",
+		validSettings + "[log]\nlevel = \"\"\n":                                                               "log.level: use debug",
+		validSettings + "[log]\nformat = \"xml\"\n":                                                           "log.format: use json or text",
 		strings.Replace(validSettings, "[node]", "[node]\npeers=[\"p\"]", 1):                                  "node.peers: expected IPs",
 	} {
 		g := gomega.NewWithT(t)
--- a/io/request/gttimeline/timeline.go
+++ b/io/request/gttimeline/timeline.go
@@ -252,7 +252,8 @@
 }
 
 // instance returns the name of the instance that a line about an attempt names,
-// or "". It is in the field "instance", or at the beginning of the error's text.
+// or "". It is in the field "instance", or before the colon at the beginning of the
+// error's text.
 func (e Event) instance() string {
 	if e.line.Instance != "" {
 		return e.line.Instance
@@ -261,7 +262,10 @@
 	if !ok {
 		return ""
 	}
-	name, _, _ := strings.Cut(rest, ":")
+	name, _, ok := strings.Cut(rest, ":")
+	if !ok || strings.Contains(name, " ") {
+		return "" // the text goes on after the name, as in "instance b-1 serves"
+	}
 	return name
 }
 
--- a/io/request/gttimeline/timeline_test.go
+++ b/io/request/gttimeline/timeline_test.go
@@ -76,3 +76,13 @@
 	g.Expect(texts(timeline.Events())).To(gomega.ConsistOf(gomega.ContainSubstring("status 500 of the backend server")))
 	g.Expect(texts(timeline.Related())).To(gomega.ConsistOf(gomega.ContainSubstring("move r9 is taken back")))
 }
+
+// An error's text that begins with an instance's name and goes on is not a name.
+func TestTextAfterAnInstanceIsNotItsName(t *testing.T) {
+	g := gomega.NewWithT(t)
+	line := `{"kind":"run refused","request":"7","certainty":"not run","why":"instance b-1 serves \"x\", not \"y\": moved","time":"2026-12-04T10:00:00.002Z","message":"request: came to its server"}`
+	timeline := readLogs(g, "7", map[string]string{"b-1": line})
+	for _, m := range timeline.Missing() {
+		g.Expect(m).NotTo(gomega.ContainSubstring("serves"))
+	}
+}
