watch: what a fleet that starts at once asks the store no longer grows with it

Change: gtjoin. A node looks for contacts by a read that may be outdated (a tenth of the price), then waits a delay whose distribution lets one of many end first. If no peer has answered by then, the node watches the store and is a contact for the others; if peers have answered but none knows a configuration, it reads that once. A rank counts two seconds after the first exchange with a peer. Where contacts can't be read nobody claims, so that a store that returns is not asked by all.

--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -72,9 +72,13 @@
 	// format of the operators' folder.
 	ParseFiles func(files map[string]string) (*gtconfig.Config, []gtconfig.Problem)
 	// WatchConfig passes the operators' configuration to Install until ctx ends. It
-	// is called while this node ranks among the watchers of its zone; nil means
+	// is called while this node is a watcher of the store; nil means
 	// watching the operators' folder in Store.
 	WatchConfig func(ctx context.Context)
+	// LoadConfig passes the operators' configuration to Install once, as it was some
+	// seconds ago. It is called when neither this node nor its peers have one; nil
+	// means waiting for the watchers.
+	LoadConfig func(ctx context.Context) error
 	// SaveMove writes the next state of a move by compare-and-swap and returns
 	// the state that is stored afterwards; nil means writing it only to the keys of
 	// the mesh in Store.
@@ -295,7 +299,7 @@
 		Install: n.installVersion, OnReport: n.judges.addReport,
 	}
 	if n.configStore != nil {
-		n.overlay.Contacts = n.configStore.Contacts
+		n.overlay.Contacts = n.configStore.OutdatedContacts
 	}
 }
 
--- a/io/process/gtnode/watch.go
+++ b/io/process/gtnode/watch.go
@@ -9,6 +9,7 @@
 	"github.com/joomcode/errorx"
 
 	"godwittide/core/process/gtaccept"
+	"godwittide/core/process/gtjoin"
 	"godwittide/core/process/gtmember"
 	"godwittide/core/process/gtrank"
 	"godwittide/core/process/gttimer"
@@ -37,25 +38,32 @@
 	// entry, and contactTimeout the timeout of one attempt.
 	contactRetryDelay = 600 * time.Millisecond
 	contactTimeout    = 800 * time.Millisecond
-	// watchStartDelay is how long a node that has just started learns from its peers
-	// before it may watch the store: they may have a newer state than the store.
+	// watchStartDelay is how long a node learns from its peers, after it has joined
+	// them, before its rank among the watchers counts.
 	watchStartDelay = 2 * time.Second
 	// maxDelayRank is the rank from which the acceptance delay no longer grows.
 	maxDelayRank = 3
 )
 
-// watchStore watches the store while this node ranks among the watchers of its
-// zone, until ctx ends.
+// watchStore watches the store while this node is a watcher, until ctx ends. It is
+// one while it ranks among the watchers of its zone. That is known only some time
+// after it has joined its peers; until then it is one if no peer has answered.
 func (n *Node) watchStore(ctx context.Context) {
-	// A node that has just started knows few others, and would rank itself first.
-	if n.WatchConfig == nil && n.timer.Sleep(ctx, watchStartDelay) != nil {
-		return
-	}
 	ticker := n.timer.Every(rankCheckPeriod, 0.2)
 	defer ticker.Stop()
 	var task *watchTask
+	var joinedAt time.Time
+	alone := n.bootstrap(ctx)
 	for {
-		assigned := n.watchRank() < gtrank.ZoneWatchers && !n.leaving.Load()
+		if joinedAt.IsZero() && n.overlay.HasSynced() {
+			joinedAt = n.timer.Time()
+		}
+		ranked := !joinedAt.IsZero() && n.timer.Time().Sub(joinedAt) >= watchStartDelay
+		if joinedAt.IsZero() && !alone && n.overlay.CountLinks() == 0 {
+			alone = n.bootstrap(ctx)
+		}
+		assigned := alone && !ranked || ranked && n.WatchRank() < gtrank.ZoneWatchers
+		assigned = assigned && !n.leaving.Load()
 		if assigned && task == nil {
 			task = n.startWatchTask(ctx)
 		}
@@ -74,6 +82,65 @@
 	}
 }
 
+// bootstrap waits for peers and a configuration, and then looks for what is missing
+// in the store. It reports whether no peer has answered.
+func (n *Node) bootstrap(ctx context.Context) bool {
+	delay := gtjoin.Delay(rand.Float64())
+	if n.WatchConfig == nil {
+		// Peers may have a newer version than the store, which a watcher would accept
+		// or restore there.
+		delay += watchStartDelay
+	}
+	if n.timer.Sleep(ctx, delay) != nil {
+		return false
+	}
+	joined, err := n.join(ctx)
+	if err != nil {
+		n.Log.Debug().Err(err).Msg("watch: reading contacts from the store failed")
+		return false
+	}
+	switch gtjoin.Decide(gtjoin.NewView(joined, n.ActiveVersion().Version() > 0)) {
+	case gtjoin.Claim:
+		n.Log.Info().Msg("watch: no peer has answered; this node watches the store until one does")
+		return true
+	case gtjoin.Load:
+		n.loadConfig(ctx)
+	case gtjoin.Nothing:
+	}
+	return false
+}
+
+// join reports whether the node is linked to a peer, or one of the contacts in the
+// store has answered. It fails if the contacts can't be read.
+func (n *Node) join(ctx context.Context) (bool, error) {
+	if n.overlay.CountLinks() > 0 {
+		return true, nil
+	}
+	if n.configStore == nil {
+		return false, nil
+	}
+	for _, read := range []func(context.Context) ([]string, error){n.configStore.OutdatedContacts, n.configStore.Contacts} {
+		contacts, err := read(ctx)
+		if err != nil {
+			return false, err
+		}
+		if n.overlay.Join(ctx, contacts) {
+			return true, nil
+		}
+	}
+	return false, nil
+}
+
+// loadConfig reads the configuration from the store once, if the node can.
+func (n *Node) loadConfig(ctx context.Context) {
+	if n.LoadConfig == nil {
+		return
+	}
+	if err := n.LoadConfig(ctx); err != nil {
+		n.Log.Debug().Err(err).Msg("watch: reading the configuration from the store failed")
+	}
+}
+
 // watchTask is a running goroutine that watches the store.
 type watchTask struct {
 	cancel context.CancelFunc
@@ -97,9 +164,9 @@
 	<-t.done
 }
 
-// watchRank returns this node's rank, starting at 0, for the assignment of
+// WatchRank returns this node's rank, starting at 0, for the assignment of
 // watchers within its zone.
-func (n *Node) watchRank() int {
+func (n *Node) WatchRank() int {
 	return gtrank.Rank("watch", n.Settings.Node.Instance, n.table.ZoneMembers(n.Settings.Node.Zone))
 }
 
--- a/io/process/gtoverlay/overlay.go
+++ b/io/process/gtoverlay/overlay.go
@@ -305,8 +305,7 @@
 }
 
 // contactSeeds connects to the seed addresses of the settings and, while no
-// overlay link is open, to those in the store. It stops when enough links are
-// open.
+// overlay link is open, to those in the store, in its own goroutine.
 func (o *Overlay) contactSeeds(ctx context.Context) {
 	o.spawn(func() {
 		addrs := append([]string(nil), o.Seeds...)
@@ -317,18 +316,27 @@
 			}
 			addrs = append(addrs, contacts...)
 		}
-		rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
-		for _, addr := range addrs {
-			if o.isLinkedTo(addr) {
-				continue
-			}
-			if o.connect(ctx, addr, "", false) == nil && o.CountLinks() >= gtlink.SameZoneLinks {
-				return
-			}
-		}
+		o.Join(ctx, addrs)
 	})
 }
 
+// Join connects to the peer addresses, in random order, until enough links are open.
+// It reports whether the node has a link, or a peer has answered.
+func (o *Overlay) Join(ctx context.Context, addrs []string) bool {
+	joined := o.CountLinks() > 0
+	for _, i := range rand.Perm(len(addrs)) {
+		if o.isLinkedTo(addrs[i]) {
+			continue
+		}
+		err := o.connect(ctx, addrs[i], "", false)
+		joined = joined || err == nil || errorx.IsOfType(err, errorx.RejectedOperation)
+		if err == nil && o.CountLinks() >= gtlink.SameZoneLinks {
+			break
+		}
+	}
+	return joined
+}
+
 // reconnectLostZones connects to a random gone member of each zone that has no
 // other members left, so that the two sides of a healed network partition find
 // each other again.
--- a/io/process/gtstore/store.go
+++ b/io/process/gtstore/store.go
@@ -22,6 +22,9 @@
 	// Range reads the keys from key up to but not including end, or key alone if
 	// end is "".
 	Range func(ctx context.Context, key, end string) (RangeResponse, error)
+	// RangeOutdated is like Range, but what it reads may be some seconds old. It costs
+	// the store less; nil means Range.
+	RangeOutdated func(ctx context.Context, key, end string) (RangeResponse, error)
 	// Txn does the writes atomically if all conditions hold.
 	Txn func(ctx context.Context, t *Txn) (TxnResult, error)
 	// Grant creates a lease that expires after ttl unless it is kept alive, and
@@ -35,6 +38,14 @@
 	Watch func(ctx context.Context, key, end string, after int64, fn func([]KV)) error
 }
 
+// ReadOutdated reads a range by RangeOutdated, or by Range if there is none.
+func (s *Store) ReadOutdated(ctx context.Context, key, end string) (RangeResponse, error) {
+	if s.RangeOutdated != nil {
+		return s.RangeOutdated(ctx, key, end)
+	}
+	return s.Range(ctx, key, end)
+}
+
 // KV is one key with its value and the revision of its last change.
 type KV struct {
 	key     string
--- a/io/version/gtrepository/write.go
+++ b/io/version/gtrepository/write.go
@@ -363,8 +363,18 @@
 
 // Contacts returns the peer addresses of the stored contacts of all zones.
 func (r *Repository) Contacts(ctx context.Context) ([]string, error) {
+	return r.contacts(ctx, r.Store.Range)
+}
+
+// OutdatedContacts returns the contacts as they were some seconds ago, at less cost to
+// the store.
+func (r *Repository) OutdatedContacts(ctx context.Context) ([]string, error) {
+	return r.contacts(ctx, r.Store.ReadOutdated)
+}
+
+func (r *Repository) contacts(ctx context.Context, read func(ctx context.Context, key, end string) (gtstore.RangeResponse, error)) ([]string, error) {
 	prefix := r.key("contact", "")
-	resp, err := r.Store.Range(ctx, prefix, gtstore.PrefixEnd(prefix))
+	resp, err := read(ctx, prefix, gtstore.PrefixEnd(prefix))
 	if err != nil {
 		return nil, errorx.Decorate(err, "read the contacts from the store")
 	}
