--- a/io/process/gtnode/watch.go
+++ b/io/process/gtnode/watch.go
@@ -170,9 +170,9 @@
 	return gtrank.Rank("watch", n.Settings.Node.Instance, n.table.ZoneMembers(n.Settings.Node.Zone))
 }
 
-// acceptRank returns this node's rank among the watchers of all zones for accepting
-// pushes.
-func (n *Node) acceptRank() int {
+// AcceptRank returns this node's rank, starting at 0, among the watchers of all zones:
+// for accepting pushes, and for how often a watch is renewed.
+func (n *Node) AcceptRank() int {
 	var watchers []gtmember.Record
 	for zone := range n.table.ZoneSizes() {
 		ranked := gtrank.Ranked("watch", n.table.ZoneMembers(zone))
@@ -330,7 +330,7 @@
 		}
 		return n.installVersion(snapshot)
 	}
-	if rank := min(n.acceptRank(), maxDelayRank); rank > 0 {
+	if rank := min(n.AcceptRank(), maxDelayRank); rank > 0 {
 		if err := n.timer.Sleep(ctx, gtaccept.AcceptDelay(rank)); err != nil {
 			return err
 		}
