gthop: a request is not sent on once its caller has left, at the last moment

Cause: the HTTP server reports a closed connection in another goroutine, and only a node that was called by a peer waited 2 ms for that, after a pause that it had noticed. The node that a caller talks to did not look, nor did any after the wait for admission; and where grant and end of the context came together, the choice was random.

Change: right before the bytes go out, to a peer or to the backend server, the deadline is compared and the caller's socket is looked at, by one system call that reads nothing (gtsocket). A machine's suspension, which the steady clock does not count, shows the same way.

--- /dev/null
+++ b/io/connection/gtsocket/socket.go
@@ -0,0 +1,107 @@
+// Package gtsocket looks at the socket of a connection without reading from it: whether
+// bytes are waiting there, or the other end has closed it.
+//
+// # Usage
+//
+//	server.ConnContext = gtsocket.WithConn
+//	if gtsocket.CallerLeft(r.Context()) { return } // nobody waits for the response
+//
+// The HTTP server reports a closed connection by canceling the request's context, but
+// in another goroutine and some time later: after a process pause, or while the
+// process is short of processor time, a request would be sent on before. A look at the
+// socket is a single system call.
+package gtsocket
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// State is what is known about a connection.
+type State int
+
+// The states.
+const (
+	// Unknown means that the connection is not a socket, or can't be looked at.
+	Unknown State = iota
+	// Quiet means that the connection is open and no byte is waiting.
+	Quiet
+	// Unread means that bytes are waiting to be read.
+	Unread
+	// Closed means that the other end has closed or reset the connection.
+	Closed
+)
+
+// Peek returns the state of a connection. It does not block, also while another
+// goroutine reads from the connection.
+func Peek(c net.Conn) State {
+	sc, ok := socket(c)
+	if !ok {
+		return Unknown
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return Closed
+	}
+	state := Unknown
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		switch {
+		case n > 0:
+			state = Unread
+		case errors.Is(err, unix.EAGAIN):
+			state = Quiet
+		default:
+			state = Closed
+		}
+	})
+	if err != nil {
+		return Closed
+	}
+	return state
+}
+
+// socket returns the socket of a connection, which TLS or another wrapper with a method
+// NetConn may hide.
+func socket(c net.Conn) (syscall.Conn, bool) {
+	for {
+		if sc, ok := c.(syscall.Conn); ok {
+			return sc, true
+		}
+		wrapper, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil, false
+		}
+		c = wrapper.NetConn()
+	}
+}
+
+// connKey is the context key of a request's connection.
+type connKey struct{}
+
+// WithConn adds a connection to the context of its requests. It is the ConnContext
+// hook of http.Server.
+func WithConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// Conn returns the connection of the request that a context belongs to, or nil.
+func Conn(ctx context.Context) net.Conn {
+	c, _ := ctx.Value(connKey{}).(net.Conn)
+	return c
+}
+
+// CallerLeft reports whether the context has ended, or the caller of its request has
+// closed the connection.
+func CallerLeft(ctx context.Context) bool {
+	if ctx.Err() != nil {
+		return true
+	}
+	c := Conn(ctx)
+	return c != nil && Peek(c) == Closed
+}
--- a/io/process/gtnode/idle.go
+++ b/io/process/gtnode/idle.go
@@ -1,16 +1,13 @@
 package gtnode
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"godwittide/core/request/gtkind"
+	"godwittide/io/connection/gtsocket"
 	"godwittide/io/request/gthop"
 )
 
@@ -57,19 +54,10 @@
 	}
 }
 
-// connKey is the context key of a request's connection.
-type connKey struct{}
-
-// withConn adds a connection to the context of its requests. It is the
-// ConnContext hook of http.Server.
-func withConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
-}
-
 // wasNotified reports whether the notice has been sent on the connection of a
 // request. The notice says that the request was not run, so it must not be run.
 func (i *idleConns) wasNotified(r *http.Request) bool {
-	c, _ := r.Context().Value(connKey{}).(net.Conn)
+	c := gtsocket.Conn(r.Context())
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	idle, known := i.conns[c]
@@ -86,7 +74,7 @@
 		switch {
 		case !idle:
 			continue
-		case hasUnreadBytes(c):
+		case gtsocket.Peek(c) == gtsocket.Unread:
 			unread++
 			continue
 		case i.notice == nil:
@@ -100,22 +88,3 @@
 	}
 	return unread
 }
-
-// hasUnreadBytes reports whether the receive buffer of a connection holds bytes. It
-// returns false if that can't be determined.
-func hasUnreadBytes(c net.Conn) bool {
-	if b, ok := c.(*limitConn); ok {
-		c = b.Conn
-	}
-	s, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	unread := 0
-	err = raw.Control(func(fd uintptr) { unread, err = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
-	return err == nil && unread > 0
-}
--- a/io/process/gtnode/idle_test.go
+++ b/io/process/gtnode/idle_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/onsi/gomega"
 
+	"godwittide/io/connection/gtsocket"
 	"godwittide/io/request/gthop"
 )
 
@@ -44,7 +45,7 @@
 	}
 	_, err := unreadClient.Write([]byte("G"))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Eventually(func() bool { return hasUnreadBytes(unreadServer) }).Should(gomega.BeTrue())
+	g.Eventually(func() gtsocket.State { return gtsocket.Peek(unreadServer) }).Should(gomega.Equal(gtsocket.Unread))
 	g.Expect(idle.close()).To(gomega.Equal(1))
 	_, err = idleClient.Read(make([]byte, 1))
 	g.Expect(err).To(gomega.Equal(io.EOF))
@@ -81,7 +82,7 @@
 	h := n.closeConnsOnDrain(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { ran++ }))
 	_, server := connPair(t)
 	r := httptest.NewRequest("POST", "/", nil)
-	r = r.WithContext(withConn(r.Context(), server))
+	r = r.WithContext(gtsocket.WithConn(r.Context(), server))
 	serve := func() { h.ServeHTTP(httptest.NewRecorder(), r) }
 	n.servers.edgeConns.trackState(server, http.StateNew)
 	n.servers.edgeConns.trackState(server, http.StateActive)
--- a/io/process/gtnode/serve.go
+++ b/io/process/gtnode/serve.go
@@ -18,6 +18,7 @@
 	"godwittide/core/connection/gtliveness"
 	"godwittide/core/process/gttimer"
 	"godwittide/io/connection/gtpool"
+	"godwittide/io/connection/gtsocket"
 )
 
 const (
@@ -156,7 +157,7 @@
 	if n.Dialect.ErrorWriter == nil { // callers of other dialects may not understand the notice
 		n.servers.edgeConns.notice = closeNotice
 	}
-	n.servers.edge.ConnContext = withConn
+	n.servers.edge.ConnContext, n.servers.hop.ConnContext = gtsocket.WithConn, gtsocket.WithConn
 	edge := &limitListener{Listener: l.edge, maxConns: int64(n.Settings.Limit.MaxCallerConnections)}
 	for _, s := range []struct {
 		server *http.Server
@@ -256,6 +257,9 @@
 	once     sync.Once
 }
 
+// NetConn returns the connection that the limit is on.
+func (c *limitConn) NetConn() net.Conn { return c.Conn }
+
 // Close closes the connection and removes it from the listener's count.
 func (c *limitConn) Close() error {
 	c.once.Do(func() { c.listener.open.Add(-1) })
--- a/io/request/gthop/client.go
+++ b/io/request/gthop/client.go
@@ -33,6 +33,9 @@
 // kind: the one that the peer reported, or that of the failed exchange. If the
 // peer reported its load, the response holds it even with an error.
 func (cl *Client) Send(ctx context.Context, to gtmember.Record, c gtcall.Call) (gtcall.Response, error) {
+	if err := checkCaller(ctx, c, cl.Now()); err != nil {
+		return gtcall.Response{}, err
+	}
 	req, err := newRequest(c, to.HopAddress())
 	if err != nil {
 		return gtcall.Response{}, err
--- a/io/request/gthop/localbackend.go
+++ b/io/request/gthop/localbackend.go
@@ -185,6 +185,11 @@
 		cancel()
 		return reject(gtkind.New(gtkind.Expired, "deadline passed while the request waited in the admission queue"))
 	}
+	if err := checkCaller(ctx, c, b.Now()); err != nil {
+		ticket.Abandon()
+		cancel()
+		return reject(err)
+	}
 	resp, err := b.forward(ctx, c, ticket, cancel)
 	settle(resp, err)
 	return resp, err
