gtpool, gtstore, gtpeer: bytes without end are cut off

Cause: the head of a response was read without a limit: a status line, a header value or fields, interim responses, or copies of other responses without end filled the memory of the node until the request's deadline. 8 of 11 cases of TestEndlessBytesEndTheExchange were red (8 MiB read, as much as the test sends). A watch of the own store was bounded neither for each message nor in time; a stranger on the control port could claim 16 MiB.

Change: 512 KiB until the head of a response is complete, with all that comes before it; 16 MiB for a message of a watch and 64 KiB for the head of a store's response; 64 KiB for the first message on a control link. A body without end is streamed with nothing kept, until the request's time is over.

Ruled out: chunk extensions and trailers (net/http bounds them), request heads and bodies (MaxHeaderBytes, MaxBodyBytes).

--- a/io/connection/gtpeer/link.go
+++ b/io/connection/gtpeer/link.go
@@ -37,6 +37,9 @@
 const (
 	// MaxMessageBytes is the size limit of a message, before and after compression.
 	MaxMessageBytes = 16 << 20
+	// maxFirstMessageBytes is the same for the first message, by which the peer names
+	// itself.
+	maxFirstMessageBytes = 64 << 10
 	// sendQueueLength is the capacity of the send queue, in messages.
 	sendQueueLength = 512
 	// writeTimeout is the timeout for writing one message.
@@ -186,8 +189,9 @@
 
 // frameStream reads and writes length-prefixed messages of at most MaxMessageBytes.
 type frameStream struct {
-	link *Link
-	r    *bufio.Reader
+	link     *Link
+	r        *bufio.Reader
+	received bool // a message has been received
 }
 
 // ReadObject reads one message and decodes it into v.
@@ -198,13 +202,18 @@
 	}
 	length := binary.BigEndian.Uint32(header[:])
 	n := length &^ compressedFlag
-	if n > MaxMessageBytes {
-		return errorx.IllegalFormat.New("received message of %d bytes exceeds the limit of %d bytes", n, MaxMessageBytes)
+	limit := uint32(MaxMessageBytes)
+	if !s.received {
+		limit = maxFirstMessageBytes
+	}
+	if n > limit {
+		return errorx.IllegalFormat.New("received message of %d bytes exceeds the limit of %d bytes", n, limit)
 	}
 	b, err := readBytes(s.r, int(n))
 	if err != nil {
 		return err
 	}
+	s.received = true
 	s.link.lastReceived.Set(s.link.Timer.Time())
 	s.link.OnBytes(0, len(b)+len(header))
 	if length&compressedFlag != 0 {
--- a/io/connection/gtpool/conn.go
+++ b/io/connection/gtpool/conn.go
@@ -18,6 +18,14 @@
 // PingPath is the path of ping requests between nodes.
 const PingPath = "/gt/ping"
 
+// maxHeadBytes is how much may be received in an exchange until the head of its
+// response is complete: interim and mismatched responses, and the head itself. A server
+// in trouble may send bytes without end.
+const maxHeadBytes = 512 << 10
+
+// errHeadTooLarge ends an exchange in which more than maxHeadBytes were received.
+var errHeadTooLarge = errorx.IllegalFormat.New("received %d bytes without the head of a response", maxHeadBytes)
+
 // conn is one pooled connection. It carries one exchange at a time.
 type conn struct {
 	pool            *Pool
@@ -31,6 +39,8 @@
 	deadline        time.Time    // of the current exchange; zero means none
 	ctxDone         *atomic.Bool // the context of the current exchange has ended
 	expectKeepAlive bool         // reads time out after gtliveness.KeepAliveTimeout
+	expectHead      bool         // the head of the response is not complete
+	headBytes       int          // bytes received while it was not
 	closeOnce       sync.Once
 }
 
@@ -47,7 +57,8 @@
 
 // Read reads from the connection and records in its liveness that data was
 // received. While a keep-alive is expected, it waits no longer than
-// gtliveness.KeepAliveTimeout.
+// gtliveness.KeepAliveTimeout. While the head of a response is expected, it receives no
+// more than maxHeadBytes.
 func (c *conn) Read(b []byte) (int, error) {
 	if c.expectKeepAlive {
 		keepAliveDeadline := time.Now().Add(gtliveness.KeepAliveTimeout)
@@ -55,10 +66,16 @@
 			c.setReadDeadline(keepAliveDeadline)
 		}
 	}
+	if c.expectHead && c.headBytes >= maxHeadBytes {
+		return 0, errHeadTooLarge
+	}
 	n, err := c.nc.Read(b)
 	if n > 0 {
 		c.liveness.Received()
 	}
+	if c.expectHead {
+		c.headBytes += n
+	}
 	return n, err
 }
 
@@ -112,7 +129,8 @@
 		return nil, err
 	}
 	c.expectKeepAlive = c.pool.SupportsPing
-	defer func() { c.expectKeepAlive = false }()
+	c.expectHead, c.headBytes = true, 0
+	defer func() { c.expectKeepAlive, c.expectHead = false, false }()
 	for {
 		resp, err := http.ReadResponse(c.r, req)
 		if err != nil {
--- a/io/process/gtstore/etcd.go
+++ b/io/process/gtstore/etcd.go
@@ -106,8 +106,11 @@
 const (
 	// callTimeout bounds each call except a watch.
 	callTimeout = 3 * time.Second
-	// maxResponseSize is the maximum size of a response in bytes.
-	maxResponseSize = 64 << 20
+	// maxResponseSize is the maximum size of a response, or of a message of a watch, in
+	// bytes.
+	maxResponseSize = 16 << 20
+	// maxResponseHeadSize is the maximum size of the head of a response in bytes.
+	maxResponseHeadSize = 64 << 10
 	// watchIdleTimeout is the time without a message after which a watch fails, also
 	// one without changes: it can't be told from one whose connection is dead. The
 	// caller opens a new watch.
@@ -125,7 +128,7 @@
 	return &http.Client{Transport: &http.Transport{
 		DialContext:         func(ctx context.Context, _, addr string) (net.Conn, error) { return dial(ctx, addr) },
 		MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second,
-		ResponseHeaderTimeout: callTimeout,
+		ResponseHeaderTimeout: callTimeout, MaxResponseHeaderBytes: maxResponseHeadSize,
 	}}
 }
 
@@ -243,8 +246,10 @@
 		return err
 	}
 	defer resp.Body.Close()
-	d := json.NewDecoder(resp.Body)
+	body := &io.LimitedReader{R: resp.Body}
+	d := json.NewDecoder(body)
 	for {
+		body.N = maxResponseSize // for each message
 		var out EtcdWatchResponse
 		if err := d.Decode(&out); err != nil {
 			return errorx.Decorate(err, "read the store's watch stream")
