heartbeats: a backend server that has left stays out after its node restarts

After a restart, a heartbeat from before, held up on its way, made it ready again for up to three heartbeats. Found beside it: a departure was compared with the time of day, so that after a step ahead a later process with the same id counted as leaving for good (TestDepartureIsOfOneProcess, red in its first half).

Change: the node's record names the process that left, peers keep that over a restart of the node, and a peer's answer to its hello says it. A departure names the process by its start time where a heartbeat has told it.

Ruled out: keeping it in the store, which may be away just then, and probing the server, whose health answers are hints. Left: a heartbeat before the first link is up, and a kill of all nodes at once.

--- a/core/process/gtheartbeat/heartbeat.go
+++ b/core/process/gtheartbeat/heartbeat.go
@@ -68,6 +68,9 @@
 // Leaving reports whether the process is shutting down and takes no new requests.
 func (h Heartbeat) Leaving() bool { return h.leaving }
 
+// Process returns the process that sent the heartbeat.
+func (h Heartbeat) Process() Process { return NewProcess(h.id, h.startMillis) }
+
 // WarmUp returns the remaining warm-up time of the process.
 func (h Heartbeat) WarmUp() time.Duration { return h.warmUp }
 
@@ -107,16 +110,40 @@
 	departures []departure // oldest first
 }
 
-// departure records that the process with this id announced its shutdown.
+// Process identifies a process of the backend server.
+type Process struct {
+	id          string
+	startMillis int64
+}
+
+// NewProcess returns a process by its id and its start time, in Unix milliseconds.
+func NewProcess(id string, startMillis int64) Process {
+	return Process{id: id, startMillis: startMillis}
+}
+
+// ID returns the id of the process.
+func (p Process) ID() string { return p.id }
+
+// StartMillis returns the start time of the process, in Unix milliseconds.
+func (p Process) StartMillis() int64 { return p.startMillis }
+
+// departure records that a process announced its shutdown. If its start time is
+// not known, it is 0, and at is the time of the announcement.
 type departure struct {
-	id string
-	at time.Time
+	process Process
+	at      time.Time
 }
 
 // matches reports whether h comes from the process that announced its shutdown,
 // rather than from a later one with the same id.
 func (d departure) matches(h Heartbeat) bool {
-	return d.id == h.id && h.startMillis <= d.at.UnixMilli()
+	if d.process.id != h.id {
+		return false
+	}
+	if d.process.startMillis != 0 {
+		return h.startMillis == d.process.startMillis
+	}
+	return h.startMillis <= d.at.UnixMilli()
 }
 
 // maxDepartures is the maximum number of departures that are kept.
@@ -143,11 +170,30 @@
 func (m *Monitor) MarkLeaving(id string) (Heartbeat, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.departures = append(m.departures, departure{id, m.Now()})
+	p := NewProcess(id, 0)
+	if !m.updatedAt.IsZero() && m.last.id == id {
+		p.startMillis = m.last.startMillis
+	}
+	return m.addDeparture(p)
+}
+
+// MarkDeparted is like MarkLeaving for a process whose start time is known: one that
+// announced its shutdown to an earlier process of this node.
+func (m *Monitor) MarkDeparted(p Process) (Heartbeat, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.addDeparture(p)
+}
+
+// addDeparture records a departure. It returns the latest known heartbeat, and true if
+// it comes from that process. The caller holds the lock.
+func (m *Monitor) addDeparture(p Process) (Heartbeat, bool) {
+	d := departure{process: p, at: m.Now()}
+	m.departures = append(m.departures, d)
 	if len(m.departures) > maxDepartures {
 		m.departures = slices.Clone(m.departures[1:])
 	}
-	if m.updatedAt.IsZero() || m.last.id != id {
+	if m.updatedAt.IsZero() || !d.matches(m.last) {
 		return m.last, false
 	}
 	m.last.leaving, m.updatedAt = true, m.Now()
--- a/core/process/gtheartbeat/heartbeat_test.go
+++ b/core/process/gtheartbeat/heartbeat_test.go
@@ -107,3 +107,29 @@
 	}
 	g.Expect(len(m.departures)).To(gomega.BeNumerically("<=", maxDepartures))
 }
+
+// A process that has announced its shutdown is known by its start time, so that a step
+// of the time of day does not make a later process with the same id look like it.
+func TestDepartureIsOfOneProcess(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.UnixMilli(100_000)
+	m := &Monitor{Now: func() time.Time { return now }, Timeout: time.Second}
+	first := NewHeartbeat("i", "1", 3).WithOrder(90_000, 1)
+	m.Observe(first)
+	now = now.Add(4 * time.Second) // the clock steps ahead
+	_, known := m.MarkLeaving("i")
+	g.Expect(known).To(gomega.BeTrue())
+	now = now.Add(-4 * time.Second)
+	last, _ := m.Observe(NewHeartbeat("i", "1", 3).WithOrder(102_000, 1))
+	g.Expect(last.Leaving()).To(gomega.BeFalse(), "a later process with the same id")
+
+	restarted := &Monitor{Now: func() time.Time { return now }, Timeout: time.Second}
+	_, known = restarted.MarkDeparted(first.Process())
+	g.Expect(known).To(gomega.BeFalse())
+	last, _ = restarted.Observe(first.WithOrder(90_000, 7))
+	g.Expect(last.Leaving()).To(gomega.BeTrue(), "a heartbeat that was held up")
+	last, _ = restarted.Observe(NewHeartbeat("i", "1", 3).WithOrder(102_000, 1))
+	g.Expect(last.Leaving()).To(gomega.BeFalse())
+	_, known = restarted.MarkDeparted(NewProcess("i", 102_000))
+	g.Expect(known).To(gomega.BeTrue(), "the peer's memory comes after the heartbeat")
+}
--- a/core/process/gtmember/record.go
+++ b/core/process/gtmember/record.go
@@ -74,6 +74,7 @@
 	slots       int
 	incarnation uint64
 	state       State
+	departed    string
 	updatedAt   time.Time
 }
 
@@ -111,6 +112,10 @@
 // State returns the state in the life cycle.
 func (r Record) State() State { return r.state }
 
+// Departed identifies the last process of the backend server that announced its
+// shutdown, or is empty. Its peers keep it for a node that restarts and has forgotten it.
+func (r Record) Departed() string { return r.departed }
+
 // UpdatedAt returns when the table of this node last changed the record.
 func (r Record) UpdatedAt() time.Time { return r.updatedAt }
 
@@ -130,6 +135,12 @@
 	return r
 }
 
+// WithDeparted returns a copy with the process that announced its shutdown.
+func (r Record) WithDeparted(process string) Record {
+	r.departed = process
+	return r
+}
+
 // WithIncarnation returns a copy with the given incarnation.
 func (r Record) WithIncarnation(n uint64) Record {
 	r.incarnation = n
--- a/core/process/gtmember/table.go
+++ b/core/process/gtmember/table.go
@@ -82,6 +82,15 @@
 	return t.updateSelf(func(own Record) Record { return own.WithBackend(own.service, version, slots).WithState(s) })
 }
 
+// SetSelfDeparted sets the process of the backend server that announced its shutdown in
+// the node's own record. Peers learn of it with the next change of the record.
+func (t *Table) SetSelfDeparted(process string) {
+	t.selfMu.Lock()
+	defer t.selfMu.Unlock()
+	own := t.Self().WithDeparted(process)
+	t.self.Store(&own)
+}
+
 // updateSelf applies change to the node's own record, raises its incarnation and
 // returns it.
 func (t *Table) updateSelf(change func(own Record) Record) Record {
@@ -132,6 +141,9 @@
 		if ok && !r.Supersedes(old) || !ok && r.state == Gone {
 			return
 		}
+		if r.departed == "" {
+			r.departed = old.departed // a node that has restarted does not know it
+		}
 		m[r.instance] = r
 		changed = true
 		bucketHash := &t.bucketHashes[gtshard.Index(r.instance)][bucketIndex(r.instance)]
--- a/core/process/gtmember/table_test.go
+++ b/core/process/gtmember/table_test.go
@@ -235,3 +235,19 @@
 		}
 	})
 }
+
+// A node that has restarted does not know which process of its backend server had left;
+// its peers keep that, whatever its new record says.
+func TestPeersKeepTheDepartedProcess(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := &Table{Now: time.Now}
+	r := NewRecord("i", "z", "127.0.0.1:1", "127.0.0.1:2").WithBackend("s", "1", 1)
+	g.Expect(table.Merge(r.WithIncarnation(5).WithDeparted("90000 p").WithState(Leaving))).To(gomega.BeTrue())
+	g.Expect(table.Merge(r.WithIncarnation(9))).To(gomega.BeTrue())
+	got, _ := table.Get("i")
+	g.Expect(got.State()).To(gomega.Equal(Starting))
+	g.Expect(got.Departed()).To(gomega.Equal("90000 p"))
+	g.Expect(table.Merge(r.WithIncarnation(10).WithDeparted("95000 q"))).To(gomega.BeTrue())
+	got, _ = table.Get("i")
+	g.Expect(got.Departed()).To(gomega.Equal("95000 q"))
+}
--- a/io/connection/gtwire/wire.go
+++ b/io/connection/gtwire/wire.go
@@ -42,13 +42,14 @@
 	Slots       int    `json:"n"`
 	Incarnation uint64 `json:"c"`
 	State       string `json:"t"`
+	Departed    string `json:"l,omitempty"`
 }
 
 // FromRecord returns the message of a record.
 func FromRecord(r gtmember.Record) Record {
 	return Record{
 		Instance: r.Instance(), Zone: r.Zone(), Service: r.Service(), Version: r.Version(), HopAddress: r.HopAddress(), PeerAddress: r.PeerAddress(),
-		Slots: r.Slots(), Incarnation: r.Incarnation(), State: r.State().String(),
+		Slots: r.Slots(), Incarnation: r.Incarnation(), State: r.State().String(), Departed: r.Departed(),
 	}
 }
 
@@ -68,6 +69,9 @@
 			return gtmember.Record{}, errorx.IllegalFormat.New("record of instance %.40q has an empty or overlong name", m.Instance)
 		}
 	}
+	if len(m.Departed) > MaxNameBytes {
+		return gtmember.Record{}, errorx.IllegalFormat.New("record of instance %q names a departed process of %d bytes", m.Instance, len(m.Departed))
+	}
 	for _, a := range []string{m.HopAddress, m.PeerAddress} {
 		if _, err := netip.ParseAddrPort(a); err != nil {
 			return gtmember.Record{}, errorx.IllegalFormat.New("record of instance %q has the invalid address %.60q", m.Instance, a)
@@ -78,7 +82,7 @@
 		return gtmember.Record{}, errorx.IllegalFormat.New("record of instance %q has an unknown state or an invalid number of slots", m.Instance)
 	}
 	r := gtmember.NewRecord(m.Instance, m.Zone, m.HopAddress, m.PeerAddress).WithBackend(m.Service, m.Version, m.Slots)
-	return r.WithIncarnation(m.Incarnation).WithState(state), nil
+	return r.WithIncarnation(m.Incarnation).WithState(state).WithDeparted(m.Departed), nil
 }
 
 // Delta is the message of a change from one version of the configuration to the
--- a/io/process/gtnode/backend.go
+++ b/io/process/gtnode/backend.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -157,6 +159,28 @@
 	}
 }
 
+// departedText returns the text by which peers remember a process that announced its
+// shutdown.
+func departedText(p gtheartbeat.Process) string {
+	return strconv.FormatInt(p.StartMillis(), 10) + " " + p.ID()
+}
+
+// handleDeparted processes a peer's memory that a process of the backend server announced
+// its shutdown to an earlier process of this node. A heartbeat of that process may have
+// been held up on its way.
+func (n *Node) handleDeparted(text string) {
+	start, id, _ := strings.Cut(text, " ")
+	millis, err := strconv.ParseInt(start, 10, 64)
+	if err != nil || millis == 0 || id == "" {
+		return
+	}
+	p := gtheartbeat.NewProcess(id, millis)
+	n.table.SetSelfDeparted(departedText(p))
+	if last, known := n.Heartbeats.MarkDeparted(p); known {
+		n.applyHeartbeat(last)
+	}
+}
+
 // applyHeartbeat updates the admission gate, the node's own record and its state
 // from a heartbeat.
 func (n *Node) applyHeartbeat(h gtheartbeat.Heartbeat) {
@@ -173,6 +197,7 @@
 		n.table.SetSelfBackend(h.Version(), h.Slots(), self.State())
 	}
 	if h.Leaving() {
+		n.table.SetSelfDeparted(departedText(h.Process()))
 		n.setState(gtmember.Leaving)
 		return
 	}
--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -298,6 +298,9 @@
 		Table: n.table, Holder: n.holder, Moves: n.moves, Crashes: n.crashes,
 		Install: n.installVersion, OnReport: n.judges.addReport,
 	}
+	if n.Heartbeats != nil {
+		n.overlay.OnDeparted = n.handleDeparted
+	}
 	if n.configStore != nil {
 		n.overlay.Contacts = n.configStore.OutdatedContacts
 	}
--- a/io/process/gtoverlay/connect.go
+++ b/io/process/gtoverlay/connect.go
@@ -36,12 +36,24 @@
 	Direct       bool            `json:"aside,omitempty"`
 	Full         bool            `json:"full,omitempty"`
 	Alternatives []gtwire.Record `json:"others,omitempty"`
+	// Departed is what the sender of a response knows of the receiver's backend server:
+	// the process that announced its shutdown.
+	Departed string `json:"left,omitempty"`
 }
 
 func (o *Overlay) newHello(direct bool) Hello {
 	return Hello{Cluster: o.Cluster, Sender: gtwire.FromRecord(o.Table.Self()), Direct: direct}
 }
 
+// newHelloResponse returns the response to a hello message.
+func (o *Overlay) newHelloResponse(h Hello) Hello {
+	response := o.newHello(false)
+	if r, ok := o.Table.Get(h.Sender.Instance); ok {
+		response.Departed = r.Departed()
+	}
+	return response
+}
+
 func (o *Overlay) countBytes(sent, received int) {
 	o.bytesSent.Add(int64(sent))
 	o.bytesReceived.Add(int64(received))
@@ -67,6 +79,9 @@
 		l.Close()
 		return errorx.Decorate(err, "exchange hello messages with peer %s", addr)
 	}
+	if response.Departed != "" && o.OnDeparted != nil {
+		o.OnDeparted(response.Departed)
+	}
 	if err := o.acceptPeer(pl, response, instance); err != nil {
 		l.Close()
 		return err
--- a/io/process/gtoverlay/facts.go
+++ b/io/process/gtoverlay/facts.go
@@ -88,14 +88,14 @@
 		return nil, errorx.IllegalFormat.New("unexpected hello message on an established link")
 	}
 	if h.Cluster == o.Cluster && o.isFull(h.Direct) {
-		response := o.newHello(false)
+		response := o.newHelloResponse(h)
 		response.Full, response.Alternatives = true, o.randomReadyMembers()
 		return response, nil
 	}
 	if err := o.acceptPeer(pl, h, ""); err != nil {
 		return nil, err
 	}
-	return o.newHello(false), nil
+	return o.newHelloResponse(h), nil
 }
 
 func (o *Overlay) serveReport(pl *peerLink, params json.RawMessage) error {
--- a/io/process/gtoverlay/overlay.go
+++ b/io/process/gtoverlay/overlay.go
@@ -94,6 +94,9 @@
 	Crashes *gtdedup.Crashes
 	// Install merges a version that a peer sent and makes it the active version.
 	Install func(snapshot gtdelta.Snapshot) error
+	// OnDeparted is called with the process of the local backend server that, as a peer
+	// remembers, announced its shutdown; nil means that nothing is done.
+	OnDeparted func(process string)
 	// OnReport is called with each report that was sent to this node.
 	OnReport func(r gtcanary.Report)
 
