--- /dev/null
+++ b/io/connection/gtpool/limit_test.go
@@ -0,0 +1,47 @@
+package gtpool
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"godwittide/core/request/gtkind"
+	"godwittide/io/connection/gtpipe"
+	"godwittide/test/gtclock"
+)
+
+// The limit that the server's service sets may change while requests run.
+func TestConnectionLimitFollowsTheService(t *testing.T) {
+	gtclock.Run(t, func(t *testing.T, network *gtpipe.Network) {
+		g := gomega.NewWithT(t)
+		addr, _ := servePeer(t, network, func(_ int, w io.Writer, _ *http.Request) bool { return writeOK(w) })
+		p := newPool(network)
+		defer p.Close()
+		limit := 1
+		p.ConnLimit = func() int { return limit }
+		hold := func() (*http.Response, error) {
+			req, _ := http.NewRequest(http.MethodGet, "http://"+addr+"/x", nil)
+			return p.Do(context.Background(), addr, "normal", req, true)
+		}
+		first, err := hold()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		defer first.Body.Close()
+		_, err = hold()
+		g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.Full))
+		limit = 2
+		second, err := hold()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		defer second.Body.Close()
+		limit = 0
+		for range p.MaxConns - 2 {
+			resp, err := hold()
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			defer resp.Body.Close()
+		}
+		_, err = hold()
+		g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.Full), "the limit of the settings holds without one of the service")
+	})
+}
