heartbeats: what peers remember of a departed process neither repeats nor overwrites

Change: a departure is kept once; a peer's memory only fills an empty field; too long a text is left out.

--- a/core/process/gtheartbeat/heartbeat.go
+++ b/core/process/gtheartbeat/heartbeat.go
@@ -189,6 +189,7 @@
 // it comes from that process. The caller holds the lock.
 func (m *Monitor) addDeparture(p Process) (Heartbeat, bool) {
 	d := departure{process: p, at: m.Now()}
+	m.departures = slices.DeleteFunc(m.departures, func(old departure) bool { return old.process == p })
 	m.departures = append(m.departures, d)
 	if len(m.departures) > maxDepartures {
 		m.departures = slices.Clone(m.departures[1:])
--- a/core/process/gtheartbeat/heartbeat_test.go
+++ b/core/process/gtheartbeat/heartbeat_test.go
@@ -132,4 +132,9 @@
 	g.Expect(last.Leaving()).To(gomega.BeFalse())
 	_, known = restarted.MarkDeparted(NewProcess("i", 102_000))
 	g.Expect(known).To(gomega.BeTrue(), "the peer's memory comes after the heartbeat")
+	for range 3 * maxDepartures {
+		restarted.MarkDeparted(NewProcess("i", 102_000))
+	}
+	last, _ = restarted.Observe(first.WithOrder(90_000, 9))
+	g.Expect(last.Leaving()).To(gomega.BeTrue(), "what is told again and again pushes no other departure out")
 }
--- a/core/process/gtmember/table.go
+++ b/core/process/gtmember/table.go
@@ -83,11 +83,16 @@
 }
 
 // SetSelfDeparted sets the process of the backend server that announced its shutdown in
-// the node's own record. Peers learn of it with the next change of the record.
-func (t *Table) SetSelfDeparted(process string) {
+// the node's own record. Peers learn of it with the next change of the record. With
+// overwrite false a process that the record names already stays.
+func (t *Table) SetSelfDeparted(process string, overwrite bool) {
 	t.selfMu.Lock()
 	defer t.selfMu.Unlock()
-	own := t.Self().WithDeparted(process)
+	own := t.Self()
+	if own.departed != "" && !overwrite {
+		return
+	}
+	own = own.WithDeparted(process)
 	t.self.Store(&own)
 }
 
--- a/core/request/gtdedup/keys.go
+++ b/core/request/gtdedup/keys.go
@@ -12,8 +12,9 @@
 //	...
 //	}
 //
-// Keys are kept for Window, and while their request is running. A request that is marked as a resend is refused
-// rather than run if this node can't know whether the first one ran.
+// Keys are kept for Window, and while their request is running. A request that is
+// marked as a resend is refused rather than run if this node can't know whether the
+// first one ran.
 package gtdedup
 
 import (
--- a/io/process/gtnode/admin.go
+++ b/io/process/gtnode/admin.go
@@ -99,7 +99,7 @@
 		Instance: self.Instance(), Zone: self.Zone(), Service: self.Service(), BackendVersion: self.Version(), State: self.State().String(),
 		Version: current.Snapshot().Version(), Checksum: current.Config().Checksum(), ActiveSince: current.ActivatedAt(),
 		Members: n.table.Len(), Links: n.overlay.CountLinks(), Busy: load.Busy(), Limit: load.Limit(),
-		ControlBytesSent: sent, ControlBytesReceived: received, IsWatcher: n.configStore != nil && n.WatchRank() < gtrank.ZoneWatchers, Moves: n.moveStatuses(),
+		ControlBytesSent: sent, ControlBytesReceived: received, IsWatcher: n.configStore != nil && n.watchRank() < gtrank.ZoneWatchers, Moves: n.moveStatuses(),
 	}
 }
 
--- a/io/process/gtnode/backend.go
+++ b/io/process/gtnode/backend.go
@@ -14,6 +14,7 @@
 	"godwittide/core/process/gtmember"
 	"godwittide/core/request/gtkind"
 	"godwittide/io/connection/gtpool"
+	"godwittide/io/connection/gtwire"
 )
 
 const (
@@ -160,9 +161,13 @@
 }
 
 // departedText returns the text by which peers remember a process that announced its
-// shutdown.
+// shutdown. It is empty if it would be too long for a record.
 func departedText(p gtheartbeat.Process) string {
-	return strconv.FormatInt(p.StartMillis(), 10) + " " + p.ID()
+	text := strconv.FormatInt(p.StartMillis(), 10) + " " + p.ID()
+	if len(text) > gtwire.MaxNameBytes {
+		return ""
+	}
+	return text
 }
 
 // handleDeparted processes a peer's memory that a process of the backend server announced
@@ -175,7 +180,7 @@
 		return
 	}
 	p := gtheartbeat.NewProcess(id, millis)
-	n.table.SetSelfDeparted(departedText(p))
+	n.table.SetSelfDeparted(text, false)
 	if last, known := n.Heartbeats.MarkDeparted(p); known {
 		n.applyHeartbeat(last)
 	}
@@ -197,7 +202,7 @@
 		n.table.SetSelfBackend(h.Version(), h.Slots(), self.State())
 	}
 	if h.Leaving() {
-		n.table.SetSelfDeparted(departedText(h.Process()))
+		n.table.SetSelfDeparted(departedText(h.Process()), true)
 		n.setState(gtmember.Leaving)
 		return
 	}
--- a/io/process/gtnode/watch.go
+++ b/io/process/gtnode/watch.go
@@ -64,7 +64,7 @@
 		if joinedAt.IsZero() && !alone && n.overlay.CountLinks() == 0 {
 			alone = n.bootstrap(ctx)
 		}
-		assigned := alone && !ranked || ranked && n.WatchRank() < gtrank.ZoneWatchers
+		assigned := alone && !ranked || ranked && n.watchRank() < gtrank.ZoneWatchers
 		assigned = assigned && !n.leaving.Load()
 		if assigned && task == nil {
 			task = n.startWatchTask(ctx)
@@ -107,9 +107,9 @@
 	<-t.done
 }
 
-// WatchRank returns this node's rank, starting at 0, for the assignment of
+// watchRank returns this node's rank, starting at 0, for the assignment of
 // watchers within its zone.
-func (n *Node) WatchRank() int {
+func (n *Node) watchRank() int {
 	return gtrank.Rank("watch", n.Settings.Node.Instance, n.table.ZoneMembers(n.Settings.Node.Zone))
 }
 
