gtnode: a stop waits for connections that have not been accepted yet

Between the look and the close a connection can still come; the span is microseconds instead of the time that a process short of processor time needs to accept.

--- a/io/connection/gtsocket/socket.go
+++ b/io/connection/gtsocket/socket.go
@@ -66,6 +66,25 @@
 	return state
 }
 
+// HasPending reports whether connections wait to be accepted at a listener. They are
+// reset when it is closed. It returns false if that can't be determined.
+func HasPending(ln net.Listener) bool {
+	sc, ok := ln.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	pending := false
+	err = raw.Control(func(fd uintptr) {
+		n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		pending = err == nil && n > 0
+	})
+	return err == nil && pending
+}
+
 // socket returns the socket of a connection, which TLS or another wrapper with a method
 // NetConn may hide.
 func socket(c net.Conn) (syscall.Conn, bool) {
--- a/io/process/gtnode/serve.go
+++ b/io/process/gtnode/serve.go
@@ -40,6 +40,8 @@
 // listeners are the open listeners of a node.
 type listeners struct {
 	edge, hop, peer, admin net.Listener
+	// hopSocket is the listener below the TLS of hop.
+	hopSocket net.Listener
 }
 
 // close closes the listeners that are open.
@@ -86,6 +88,9 @@
 		if port, err := netip.ParseAddrPort(*p.addr); err == nil && port.Port() == 0 {
 			*p.addr = ln.Addr().String()
 		}
+		if p.out == &l.hop {
+			l.hopSocket = ln
+		}
 		if p.secure && n.credentials != nil {
 			ln = tls.NewListener(ln, n.credentials.Config())
 		}
@@ -200,11 +205,17 @@
 }
 
 // shutdown stops the servers. It is called once no request is in flight, or the
-// drain has timed out. It first closes the idle connections that hold no unread
-// bytes, so that no request that has arrived is lost.
+// drain has timed out. It first waits until all connections are accepted that callers
+// have opened, and then closes the idle ones that hold no unread bytes, so that no
+// request that has arrived is lost.
 func (s *servers) shutdown(ctx context.Context, timer *gttimer.Service) {
 	ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
 	defer cancel()
+	for gtsocket.HasPending(s.listeners.edge) || gtsocket.HasPending(s.listeners.hopSocket) {
+		if timer.Sleep(ctx, idleCheckPeriod) != nil {
+			break
+		}
+	}
 	_, _ = s.listeners.edge.Close(), s.listeners.hop.Close()
 	for s.edgeConns.close()+s.hopConns.close() > 0 {
 		if timer.Sleep(ctx, idleCheckPeriod) != nil {
