gtdrain: a node that shuts down begins only requests that end in time

Cause: shutDown waits until nothing is in flight, but the edge went on beginning new requests for as long as callers sent them. Under steady load the wait ended only with limit.drain, 0.8 s before SIGKILL. Closing the servers had 1 s in any case, also when more was left of the drain.

Mend: from the linger period on, when callers know of the stop, a request begins only if its deadline lies before the end of the drain; the others are refused at once as not run.

--- /dev/null
+++ b/core/process/gtdrain/drain.go
@@ -0,0 +1,53 @@
+// Package gtdrain decides which requests a node that shuts down may still begin.
+// A request that is begun has to be answered, so one whose deadline lies beyond
+// the end of the shutdown is refused, unless its caller can't know of the shutdown
+// yet.
+//
+// # Usage
+//
+//	drain := &gtdrain.Drain{Now: timer.Time, Linger: linger, Limit: limit}
+//	drain.Begin()
+//	if !drain.MayBegin(deadline) { ... refuse: it has not run ... }
+//	timer.After(drain.Left())
+package gtdrain
+
+import (
+	"time"
+
+	"godwittide/core/process/gttimer"
+)
+
+// Drain is the course of a node's shutdown. Its exported fields are set before use.
+type Drain struct {
+	// Now reads the timer service's clock.
+	Now func() time.Time
+	// Linger is how long after its begin callers may not know of the shutdown.
+	Linger time.Duration
+	// Limit is how long after its begin the shutdown ends, with whatever is in
+	// flight then.
+	Limit time.Duration
+
+	begun gttimer.Moment
+}
+
+// Begin begins the shutdown. It is called once.
+func (d *Drain) Begin() { d.begun.Set(d.Now()) }
+
+// Begun reports whether the shutdown has begun.
+func (d *Drain) Begun() bool { return !d.begun.Time().IsZero() }
+
+// MayBegin reports whether a request with the given deadline may begin now: it ends
+// before the shutdown does, or its caller may not know of the shutdown yet.
+func (d *Drain) MayBegin(deadline time.Time) bool {
+	begun := d.begun.Time()
+	if begun.IsZero() || d.Now().Sub(begun) < d.Linger {
+		return true
+	}
+	return !deadline.After(begun.Add(d.Limit))
+}
+
+// Left returns the time until the end of the shutdown, and 0 after it. It must not
+// be called before Begin.
+func (d *Drain) Left() time.Duration {
+	return max(0, d.begun.Time().Add(d.Limit).Sub(d.Now()))
+}
--- /dev/null
+++ b/core/process/gtdrain/drain_test.go
@@ -0,0 +1,40 @@
+package gtdrain
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// A request that the node takes late in its shutdown would be cut off at its end: it
+// may begin only if its deadline comes first (review/1).
+func TestRequestThatWouldOutlastTheShutdownMayNotBegin(t *testing.T) {
+	g := gomega.NewWithT(t)
+	start := time.Unix(1000, 0)
+	now := start
+	d := &Drain{Now: func() time.Time { return now }, Linger: 2 * time.Second, Limit: 5 * time.Second}
+	g.Expect(d.MayBegin(start.Add(time.Hour))).To(gomega.BeTrue(), "no shutdown")
+	g.Expect(d.Begun()).To(gomega.BeFalse())
+	d.Begin()
+	g.Expect(d.Begun()).To(gomega.BeTrue())
+	for _, c := range []struct {
+		at, timeout time.Duration
+		ok          bool
+	}{
+		{0, time.Hour, true},
+		{1999 * time.Millisecond, 10 * time.Second, true},
+		{2 * time.Second, 3 * time.Second, true},
+		{2 * time.Second, 3001 * time.Millisecond, false},
+		{4 * time.Second, time.Second, true},
+		{4500 * time.Millisecond, time.Second, false},
+		{5 * time.Second, time.Millisecond, false},
+		{8 * time.Second, 0, false},
+	} {
+		now = start.Add(c.at)
+		g.Expect(d.MayBegin(now.Add(c.timeout))).To(gomega.Equal(c.ok), "%s after the begin, timeout %s", c.at, c.timeout)
+	}
+	g.Expect(d.Left()).To(gomega.BeZero())
+	now = start.Add(4 * time.Second)
+	g.Expect(d.Left()).To(gomega.Equal(time.Second))
+}
--- a/io/process/gtnode/backend.go
+++ b/io/process/gtnode/backend.go
@@ -265,7 +265,7 @@
 	n.stateMu.Lock()
 	defer n.stateMu.Unlock()
 	announced := n.table.Self().State()
-	if n.leaving.Load() && s < announced {
+	if n.drain.Begun() && s < announced {
 		return
 	}
 	if n.backend.setState(s) {
--- a/io/process/gtnode/drive.go
+++ b/io/process/gtnode/drive.go
@@ -211,7 +211,7 @@
 // a rollback can't be written to the store, the move is halted on this node and
 // all peers instead.
 func (n *Node) driveMove(ctx context.Context, m gtconfig.Move, rank int) {
-	if n.SaveMove == nil && n.configStore == nil || n.leaving.Load() {
+	if n.SaveMove == nil && n.configStore == nil || n.drain.Begun() {
 		return
 	}
 	p := n.judges.pooledJudge(m)
--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -26,6 +26,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"godwittide/core/process/gtdrain"
 	"godwittide/core/process/gtheartbeat"
 	"godwittide/core/process/gtmember"
 	"godwittide/core/process/gttimer"
@@ -134,7 +135,7 @@
 	drainOnce      sync.Once
 	abortRequested chan struct{}
 	abortOnce      sync.Once
-	leaving        atomic.Bool
+	drain          gtdrain.Drain
 	running        atomic.Bool
 	wg             sync.WaitGroup
 }
@@ -221,6 +222,7 @@
 		return err
 	}
 	n.tracer = tracer
+	n.drain = gtdrain.Drain{Now: n.timer.Time, Linger: time.Duration(cfg.Limit.LingerPeriod), Limit: time.Duration(cfg.Limit.DrainTimeout)}
 	n.requestLog = &gtlog.RateLimitedLogger{Log: n.Log, Now: n.timer.Time, LinesPerSecond: requestLinesPerSecond}
 	n.buildTables()
 	n.buildConfigStore()
@@ -286,7 +288,7 @@
 		Now: now, Self: cfg.Node.Instance, IDPrefix: cfg.Node.Instance + "-" + strconv.FormatInt(n.startTime.UnixMilli(), 36) + "-",
 		MaxBodyBytes: cfg.Limit.MaxBodyBytes, MaxHops: cfg.Limit.MaxHops, Holder: n.holder, Router: n.router, Instances: n.table.ServiceMembers,
 		Retry: n.retry, Crashes: n.crashes, OnCrash: n.mergeCrash, HistoryKnown: n.dedupHistoryKnown, LocalBackend: n.localBackend, Client: client,
-		OnOutcome: n.recordOutcome, OnResponse: n.recordResponse, Trace: n.tracer.Start, OnPanic: n.recordPanic,
+		MayBegin: n.drain.MayBegin, OnOutcome: n.recordOutcome, OnResponse: n.recordResponse, Trace: n.tracer.Start, OnPanic: n.recordPanic,
 		Dialect: n.Dialect, Split: split, OnRetry: n.logRetry,
 	}
 }
@@ -322,12 +324,13 @@
 
 // shutDown drains the node: after LingerPeriod it announces that it is leaving. It
 // then waits until RefusePeriod has passed and no request is in flight, but not
-// beyond DrainTimeout, which starts with the shutdown, and stops the servers.
+// beyond DrainTimeout, which starts with the shutdown, and stops the servers. Callers'
+// requests whose deadline lies beyond that are refused from LingerPeriod on.
 func (n *Node) shutDown(ctx context.Context) {
 	n.Log.Info().Msg("node: draining")
-	drainTimeout := n.timer.After(time.Duration(n.Settings.Limit.DrainTimeout))
+	n.drain.Begin()
+	drainTimeout := n.timer.After(n.drain.Left())
 	defer drainTimeout.Stop()
-	n.leaving.Store(true)
 	// The backend server may keep running and serve requests during the linger
 	// period, so the node stays ready until that has passed.
 	_ = n.timer.Sleep(ctx, time.Duration(n.Settings.Limit.LingerPeriod))
@@ -344,7 +347,7 @@
 		}
 		break
 	}
-	n.servers.shutdown(ctx, n.timer)
+	n.servers.shutdown(ctx, n.timer, n.drain.Left())
 	n.setState(gtmember.Gone)
 	// The overlay sends the announcement with its next batch, after a short delay.
 	_ = n.timer.Sleep(ctx, 100*time.Millisecond)
--- a/io/process/gtnode/serve.go
+++ b/io/process/gtnode/serve.go
@@ -28,8 +28,9 @@
 	// tcpUserTimeout is how long sent data may remain unacknowledged before the
 	// kernel closes the connection (TCP_USER_TIMEOUT).
 	tcpUserTimeout = gtliveness.KeepAliveTimeout
-	// shutdownTimeout is the timeout for closing the connections of the servers.
-	shutdownTimeout = time.Second
+	// minShutdownTime is the time that closing the connections of the servers gets at
+	// least.
+	minShutdownTime = time.Second
 	// idleCheckPeriod is the period at which idle connections with unread bytes are
 	// checked again during shutdown.
 	idleCheckPeriod = 2 * time.Millisecond
@@ -186,7 +187,7 @@
 		if n.servers.edgeConns.wasNotified(r) {
 			panic(http.ErrAbortHandler) // the request arrived while the notice was being sent
 		}
-		if n.leaving.Load() {
+		if n.drain.Begun() {
 			w.Header().Set("Connection", "close")
 		}
 		h.ServeHTTP(w, r)
@@ -207,9 +208,10 @@
 // shutdown stops the servers. It is called once no request is in flight, or the
 // drain has timed out. It first waits until all connections are accepted that callers
 // have opened, and then closes the idle ones that hold no unread bytes, so that no
-// request that has arrived is lost.
-func (s *servers) shutdown(ctx context.Context, timer *gttimer.Service) {
-	ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
+// request that has arrived is lost. Requests that come meanwhile have the time that is
+// left of the drain.
+func (s *servers) shutdown(ctx context.Context, timer *gttimer.Service, left time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, max(left, minShutdownTime))
 	defer cancel()
 	for gtsocket.HasPending(s.listeners.edge) || gtsocket.HasPending(s.listeners.hopSocket) {
 		if timer.Sleep(ctx, idleCheckPeriod) != nil {
--- a/io/process/gtnode/shutdown_test.go
+++ b/io/process/gtnode/shutdown_test.go
@@ -54,7 +54,7 @@
 	defer cancel()
 	timer := &gttimer.Service{}
 	go timer.Run(ctx)
-	s.shutdown(ctx, timer)
+	s.shutdown(ctx, timer, 0)
 	for i, c := range conns {
 		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 		g.Expect(err).NotTo(gomega.HaveOccurred(), "connection %d", i)
--- a/io/process/gtnode/watch.go
+++ b/io/process/gtnode/watch.go
@@ -65,7 +65,7 @@
 			alone = n.bootstrap(ctx)
 		}
 		assigned := alone && !ranked || ranked && n.watchRank() < gtrank.ZoneWatchers
-		assigned = assigned && !n.leaving.Load()
+		assigned = assigned && !n.drain.Begun()
 		if assigned && task == nil {
 			task = n.startWatchTask(ctx)
 		}
--- a/io/request/gtedge/edge.go
+++ b/io/request/gtedge/edge.go
@@ -75,6 +75,9 @@
 	LocalBackend *gthop.LocalBackend
 	// Client sends calls to peers.
 	Client *gthop.Client
+	// MayBegin reports whether a request with the given deadline may begin: the node
+	// may be shutting down. Nil means that all may.
+	MayBegin func(deadline time.Time) bool
 	// OnOutcome is called with the outcome of each attempt, if that is evidence
 	// about the version that ran it.
 	OnOutcome func(service, route, version string, o gtcanary.Outcome)
@@ -129,6 +132,9 @@
 	if err != nil {
 		return c, gtcall.Response{}, err
 	}
+	if e.MayBegin != nil && !e.MayBegin(c.Deadline()) {
+		return c, gtcall.Response{}, gtkind.New(gtkind.Leaving, "this node shuts down before the deadline of the request")
+	}
 	resp, err := e.dispatch(ctx, cfg, c)
 	return c, resp, err
 }
