gtheartbeat: a departure is of every process with its id that started before it

Cause: a deregistration names an id only. The server had crashed, started again under its id and left before its first heartbeat arrived; the node noted the departure for the crashed process, whose start time it knew, and took the late heartbeat for that of a new one. An unheard departure was also told to no peer, so that a restart of the node forgot it.

Ruled out: the order of heartbeats, which is right; clocks, all on one machine.

Mend: a departure holds for the known process and for every other with its id that started before it arrived. Peers get the time of arrival as the start time that they remember, at once if no heartbeat of the process is known.

A log line tells of each departure now.

--- a/core/process/gtheartbeat/heartbeat.go
+++ b/core/process/gtheartbeat/heartbeat.go
@@ -6,11 +6,12 @@
 //
 //	monitor := &gtheartbeat.Monitor{Now: timer.Time, Timeout: 5 * time.Second}
 //	last, newer := monitor.Observe(heartbeat) // the latest known heartbeat
-//	last, known := monitor.MarkLeaving(id)
+//	departed, last, known := monitor.MarkLeaving(id)
 //	if monitor.TimedOut() { ... heartbeat timeout ... }
 package gtheartbeat
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -127,23 +128,32 @@
 // StartMillis returns the start time of the process, in Unix milliseconds.
 func (p Process) StartMillis() int64 { return p.startMillis }
 
-// departure records that a process announced its shutdown. If its start time is
-// not known, it is 0, and at is the time of the announcement.
+// departure records that processes with one id announced their shutdown: the known one,
+// and every other that started before the announcement arrived, as the announcement
+// doesn't say which of them sent it. A process may leave before its first heartbeat
+// arrives.
 type departure struct {
-	process Process
-	at      time.Time
+	process Process   // the known process; its start time is 0 if none is known
+	latest  int64     // the latest start time of the others; math.MaxInt64 means any
+	at      time.Time // of the announcement
 }
 
-// matches reports whether h comes from the process that announced its shutdown,
-// rather than from a later one with the same id.
-func (d departure) matches(h Heartbeat) bool {
+// matches reports whether h comes from a process that announced its shutdown, rather
+// than from a later one with the same id.
+func (d departure) matches(h Heartbeat, now time.Time) bool {
 	if d.process.id != h.id {
 		return false
 	}
-	if d.process.startMillis != 0 {
-		return h.startMillis == d.process.startMillis
-	}
-	return h.startMillis <= d.at.UnixMilli()
+	return h.startMillis == d.process.startMillis || h.startMillis <= d.startedBy(now)
+}
+
+// startedBy returns the time by which the processes other than the known one started,
+// in Unix milliseconds. The time of day may have been stepped since the announcement: of
+// the time noted then and the one that today's clock gives, the earlier counts, so that
+// a later process isn't taken for one that has left.
+func (d departure) startedBy(now time.Time) int64 {
+	elapsed := max(0, now.Sub(d.at))
+	return min(d.latest, d.at.UnixMilli(), now.Add(-elapsed).UnixMilli())
 }
 
 // maxDepartures is the maximum number of departures that are kept.
@@ -155,49 +165,51 @@
 func (m *Monitor) Observe(h Heartbeat) (Heartbeat, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	now := m.Now()
 	if !m.updatedAt.IsZero() && !h.isNewerThan(m.last) {
 		return m.last, false
 	}
-	h.leaving = h.leaving || m.last.leaving && h.isSameProcess(m.last) || slices.ContainsFunc(m.departures, func(d departure) bool { return d.matches(h) })
-	m.last, m.updatedAt = h, m.Now()
+	h.leaving = h.leaving || m.last.leaving && h.isSameProcess(m.last) || slices.ContainsFunc(m.departures, func(d departure) bool { return d.matches(h, now) })
+	m.last, m.updatedAt = h, now
 	return h, true
 }
 
-// MarkLeaving records that the process with the given id is shutting down. The
-// id may be unknown, since a heartbeat of the process can arrive later.
-// MarkLeaving returns the latest known heartbeat, and true if it comes from
-// that process.
-func (m *Monitor) MarkLeaving(id string) (Heartbeat, bool) {
+// MarkLeaving records that the processes with the given id that have started until now
+// are shutting down. None of them may be known, since their heartbeats can arrive later.
+// MarkLeaving returns the last process that this may concern, the latest known
+// heartbeat, and true if that comes from one of these processes.
+func (m *Monitor) MarkLeaving(id string) (Process, Heartbeat, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	p := NewProcess(id, 0)
+	d := departure{process: NewProcess(id, 0), latest: math.MaxInt64, at: m.Now()}
 	if !m.updatedAt.IsZero() && m.last.id == id {
-		p.startMillis = m.last.startMillis
+		d.process.startMillis = m.last.startMillis
 	}
-	return m.addDeparture(p)
+	last, known := m.addDeparture(d)
+	return NewProcess(id, max(d.process.startMillis, d.at.UnixMilli())), last, known
 }
 
-// MarkDeparted is like MarkLeaving for a process whose start time is known: one that
-// announced its shutdown to an earlier process of this node.
+// MarkDeparted records that a process, and those with its id that started before it,
+// announced their shutdown to an earlier process of this node. It returns the latest
+// known heartbeat, and true if it comes from one of them.
 func (m *Monitor) MarkDeparted(p Process) (Heartbeat, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.addDeparture(p)
+	return m.addDeparture(departure{process: p, latest: p.startMillis, at: m.Now()})
 }
 
 // addDeparture records a departure. It returns the latest known heartbeat, and true if
-// it comes from that process. The caller holds the lock.
-func (m *Monitor) addDeparture(p Process) (Heartbeat, bool) {
-	d := departure{process: p, at: m.Now()}
-	m.departures = slices.DeleteFunc(m.departures, func(old departure) bool { return old.process == p })
+// it comes from a process that has left. The caller holds the lock.
+func (m *Monitor) addDeparture(d departure) (Heartbeat, bool) {
+	m.departures = slices.DeleteFunc(m.departures, func(old departure) bool { return old.process == d.process })
 	m.departures = append(m.departures, d)
 	if len(m.departures) > maxDepartures {
 		m.departures = slices.Clone(m.departures[1:])
 	}
-	if m.updatedAt.IsZero() || !d.matches(m.last) {
+	if m.updatedAt.IsZero() || !d.matches(m.last, d.at) {
 		return m.last, false
 	}
-	m.last.leaving, m.updatedAt = true, m.Now()
+	m.last.leaving, m.updatedAt = true, d.at
 	return m.last, true
 }
 
--- a/core/process/gtheartbeat/heartbeat_test.go
+++ b/core/process/gtheartbeat/heartbeat_test.go
@@ -52,12 +52,12 @@
 func TestMarkLeavingOfOtherProcessIsIgnored(t *testing.T) {
 	g := gomega.NewWithT(t)
 	m, _ := newMonitor()
-	_, known := m.MarkLeaving("a")
+	_, _, known := m.MarkLeaving("a")
 	g.Expect(known).To(gomega.BeFalse())
 	m.Observe(NewHeartbeat("a", "1", 9).WithOrder(100, 3))
-	_, known = m.MarkLeaving("b")
+	_, _, known = m.MarkLeaving("b")
 	g.Expect(known).To(gomega.BeFalse())
-	last, known := m.MarkLeaving("a")
+	_, last, known := m.MarkLeaving("a")
 	g.Expect(known).To(gomega.BeTrue())
 	g.Expect(last.Leaving()).To(gomega.BeTrue())
 }
@@ -92,7 +92,7 @@
 func TestMarkLeavingBeforeFirstHeartbeat(t *testing.T) {
 	g := gomega.NewWithT(t)
 	m, _ := newMonitor()
-	_, known := m.MarkLeaving("a")
+	_, _, known := m.MarkLeaving("a")
 	g.Expect(known).To(gomega.BeFalse())
 	last, newer := m.Observe(NewHeartbeat("a", "1", 9).WithOrder(100, 3))
 	g.Expect(newer).To(gomega.BeTrue())
@@ -117,7 +117,7 @@
 	first := NewHeartbeat("i", "1", 3).WithOrder(90_000, 1)
 	m.Observe(first)
 	now = now.Add(4 * time.Second) // the clock steps ahead
-	_, known := m.MarkLeaving("i")
+	_, _, known := m.MarkLeaving("i")
 	g.Expect(known).To(gomega.BeTrue())
 	now = now.Add(-4 * time.Second)
 	last, _ := m.Observe(NewHeartbeat("i", "1", 3).WithOrder(102_000, 1))
@@ -137,3 +137,48 @@
 	}
 	g.Expect(restarted.departures).To(gomega.HaveLen(2), "what is told again and again pushes no other departure out")
 }
+
+// A backend server crashes and starts again under its id, and leaves before its first
+// heartbeat arrives (review/2): the departure is of the process that has sent it, not
+// of the one that the node knows.
+func TestDepartureIsOfEveryProcessThatStartedBefore(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m, now := newMonitor()
+	crashed, again := now.UnixMilli(), now.UnixMilli()+2000
+	m.Observe(NewHeartbeat("a", "1", 9).WithOrder(crashed, 5))
+	*now = now.Add(3 * time.Second)
+	departed, _, known := m.MarkLeaving("a")
+	g.Expect(known).To(gomega.BeTrue())
+	g.Expect(departed).To(gomega.Equal(NewProcess("a", now.UnixMilli())), "what peers are told")
+	*now = now.Add(2 * time.Second)
+	last, newer := m.Observe(NewHeartbeat("a", "1", 9).WithOrder(again, 1))
+	g.Expect(newer).To(gomega.BeTrue())
+	g.Expect(last.Leaving()).To(gomega.BeTrue(), "its heartbeat was held up")
+	last, _ = m.Observe(NewHeartbeat("a", "1", 9).WithOrder(now.UnixMilli()-1, 1))
+	g.Expect(last.Leaving()).To(gomega.BeFalse(), "a process that started after the departure")
+
+	restarted, _ := newMonitor()
+	restarted.Now = func() time.Time { return *now }
+	restarted.MarkDeparted(departed)
+	last, _ = restarted.Observe(NewHeartbeat("a", "1", 9).WithOrder(again, 1))
+	g.Expect(last.Leaving()).To(gomega.BeTrue(), "the node has restarted, and a peer remembers")
+	last, _ = restarted.Observe(NewHeartbeat("a", "1", 9).WithOrder(now.UnixMilli()-1, 1))
+	g.Expect(last.Leaving()).To(gomega.BeFalse())
+}
+
+// The time of day steps back after a departure. What was remembered of it must not hold
+// a process for left that starts afterwards, also not after a restart of the node.
+func TestDepartureUnderAClockThatIsAheadHoldsNoLaterProcess(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m, now := newMonitor()
+	*now = now.Add(time.Minute) // ahead
+	departed, _, _ := m.MarkLeaving("a")
+	*now = now.Add(-time.Minute)
+	for _, m := range []*Monitor{m, {Now: m.Now, Timeout: m.Timeout}} {
+		m.MarkDeparted(departed)
+		last, _ := m.Observe(NewHeartbeat("a", "1", 9).WithOrder(now.UnixMilli()+500, 1))
+		g.Expect(last.Leaving()).To(gomega.BeFalse())
+		last, _ = m.Observe(NewHeartbeat("a", "1", 9).WithOrder(departed.StartMillis(), 1))
+		g.Expect(last.Leaving()).To(gomega.BeTrue(), "the process itself")
+	}
+}
--- a/io/process/gtnode/backend.go
+++ b/io/process/gtnode/backend.go
@@ -155,8 +155,40 @@
 // the given ID takes no new requests. If the latest heartbeat isn't from that
 // process, the announcement takes effect with the next one that is.
 func (n *Node) HandleLeaving(id string) {
-	if last, known := n.Heartbeats.MarkLeaving(id); known {
+	departed, last, known := n.Heartbeats.MarkLeaving(id)
+	n.Log.Info().Str("backend", id).Bool("known", known).Msg("backend: departure announced")
+	n.rememberDeparture(departed)
+	if known {
 		n.applyHeartbeat(last)
+		return
+	}
+	n.overlay.Announce(n.table.SetSelfState(n.table.Self().State()))
+}
+
+// lastDeparture is the last process of the backend server that announced its shutdown.
+type lastDeparture struct {
+	mu      sync.Mutex
+	process gtheartbeat.Process
+}
+
+// set replaces the process and reports whether it did. One that started before the
+// last, with the same ID, is left out.
+func (l *lastDeparture) set(p gtheartbeat.Process) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.process.ID() == p.ID() && p.StartMillis() <= l.process.StartMillis() {
+		return false
+	}
+	l.process = p
+	return true
+}
+
+// rememberDeparture notes that a process of the backend server, and those with its ID
+// that started before, announced their shutdown. Peers learn of it with the next change
+// of the node's record.
+func (n *Node) rememberDeparture(p gtheartbeat.Process) {
+	if n.departure.set(p) {
+		n.table.SetSelfDeparted(departedText(p), true)
 	}
 }
 
@@ -202,7 +234,7 @@
 		n.table.SetSelfBackend(h.Version(), h.Slots(), self.State())
 	}
 	if h.Leaving() {
-		n.table.SetSelfDeparted(departedText(h.Process()), true)
+		n.rememberDeparture(h.Process())
 		n.setState(gtmember.Leaving)
 		return
 	}
--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -128,6 +128,7 @@
 	judges         judges
 	servers        servers
 	backend        backendState
+	departure      lastDeparture
 	downDamper     gtmember.Damper
 	stateMu        sync.Mutex
 	installMu      sync.Mutex
