gtnode: a departure is in the store before it is acknowledged

Cause: what a node acknowledges was kept by the node and its peers only, and the first heartbeat that a restarted node hears may be one that was held up.

Ruled out, by what they keep or cost: a peer before the acknowledgement (one kill only), one heartbeat more at each start (a heartbeat period of each backend server at each restart, and two late heartbeats pass), an outdated read (may miss what was written just before the kill), the health endpoint (may be wrong).

A node that has started reads its departures before it takes into use a process that started before it. While the store can't be read, a second heartbeat of the process does.

--- a/core/process/gtheartbeat/heartbeat.go
+++ b/core/process/gtheartbeat/heartbeat.go
@@ -105,7 +105,14 @@
 	// use; nil means never.
 	PausedSince func(since time.Time) bool
 
+	// NodeStart is when this process of the node started. Earlier ones may have
+	// acknowledged departures, which are to be learned: see Admits. The zero time means
+	// that there were none. It is set before use.
+	NodeStart time.Time
+
 	mu         sync.Mutex
+	recalled   bool
+	confirmed  bool // the process of last has sent a further heartbeat
 	last       Heartbeat
 	updatedAt  time.Time
 	departures []departure // oldest first
@@ -170,10 +177,29 @@
 		return m.last, false
 	}
 	h.leaving = h.leaving || m.last.leaving && h.isSameProcess(m.last) || slices.ContainsFunc(m.departures, func(d departure) bool { return d.matches(h, now) })
+	m.confirmed = !m.updatedAt.IsZero() && h.isSameProcess(m.last)
 	m.last, m.updatedAt = h, now
 	return h, true
 }
 
+// FinishRecall records that the departures which earlier processes of the node
+// acknowledged have been marked.
+func (m *Monitor) FinishRecall() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.recalled = true
+}
+
+// Admits reports whether the backend server may be taken into use by its latest
+// heartbeat. A single heartbeat may have been held up since before the process left. If
+// the process may have left before the node started, and earlier departures are not known
+// yet, it has to send another one: one that has left sends none.
+func (m *Monitor) Admits() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.recalled || m.confirmed || m.NodeStart.IsZero() || m.last.startMillis >= m.NodeStart.UnixMilli()
+}
+
 // MarkLeaving records that the processes with the given id that have started until now
 // are shutting down. None of them may be known, since their heartbeats can arrive later.
 // MarkLeaving returns the last process that this may concern, the latest known
--- a/core/process/gtheartbeat/heartbeat_test.go
+++ b/core/process/gtheartbeat/heartbeat_test.go
@@ -182,3 +182,32 @@
 		g.Expect(last.Leaving()).To(gomega.BeTrue(), "the process itself")
 	}
 }
+
+// All nodes are killed right after a departure was acknowledged (review/3), and the store
+// that keeps it can't be read: a single heartbeat, which may have been held up, is not
+// enough to take the process into use.
+func TestSingleHeartbeatAdmitsNobodyUntilDeparturesAreKnown(t *testing.T) {
+	g := gomega.NewWithT(t)
+	beat := func(seq int64) Heartbeat { return NewHeartbeat("a", "1", 9).WithOrder(100, seq) }
+	first, _ := newMonitor()
+	first.Observe(beat(7))
+	g.Expect(first.Admits()).To(gomega.BeTrue(), "a node that has had no earlier process")
+
+	m, _ := newMonitor()
+	m.NodeStart = time.UnixMilli(150)
+	m.Observe(beat(7))
+	g.Expect(m.Admits()).To(gomega.BeFalse())
+	m.Observe(beat(7))
+	m.Observe(beat(6))
+	g.Expect(m.Admits()).To(gomega.BeFalse(), "the same heartbeat, and an earlier one")
+	m.Observe(beat(8))
+	g.Expect(m.Admits()).To(gomega.BeTrue(), "the process is still there")
+	m.Observe(NewHeartbeat("b", "1", 9).WithOrder(149, 1))
+	g.Expect(m.Admits()).To(gomega.BeFalse(), "another process")
+	m.Observe(NewHeartbeat("c", "1", 9).WithOrder(150, 1))
+	g.Expect(m.Admits()).To(gomega.BeTrue(), "a process that started after the node")
+	m.Observe(NewHeartbeat("d", "1", 9).WithOrder(0, 1))
+	g.Expect(m.Admits()).To(gomega.BeFalse(), "a process whose start time is unknown")
+	m.FinishRecall()
+	g.Expect(m.Admits()).To(gomega.BeTrue())
+}
--- a/io/process/gtnode/backend.go
+++ b/io/process/gtnode/backend.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -14,7 +12,6 @@
 	"godwittide/core/process/gtmember"
 	"godwittide/core/request/gtkind"
 	"godwittide/io/connection/gtpool"
-	"godwittide/io/connection/gtwire"
 )
 
 const (
@@ -141,7 +138,7 @@
 }
 
 // HandleHeartbeat processes a heartbeat of the backend server. It returns once
-// the node has applied it; an outdated heartbeat is ignored.
+// the node has applied it and it may be acknowledged; an outdated heartbeat is ignored.
 func (n *Node) HandleHeartbeat(h gtheartbeat.Heartbeat) {
 	last, newer := n.Heartbeats.Observe(h)
 	if !newer {
@@ -149,72 +146,8 @@
 		return
 	}
 	n.applyHeartbeat(last)
-}
-
-// HandleLeaving processes an announcement that the backend server process with
-// the given ID takes no new requests. If the latest heartbeat isn't from that
-// process, the announcement takes effect with the next one that is.
-func (n *Node) HandleLeaving(id string) {
-	departed, last, known := n.Heartbeats.MarkLeaving(id)
-	n.Log.Info().Str("backend", id).Bool("known", known).Msg("backend: departure announced")
-	n.rememberDeparture(departed)
-	if known {
-		n.applyHeartbeat(last)
-		return
-	}
-	n.overlay.Announce(n.table.SetSelfState(n.table.Self().State()))
-}
-
-// lastDeparture is the last process of the backend server that announced its shutdown.
-type lastDeparture struct {
-	mu      sync.Mutex
-	process gtheartbeat.Process
-}
-
-// set replaces the process and reports whether it did. One that started before the
-// last, with the same ID, is left out.
-func (l *lastDeparture) set(p gtheartbeat.Process) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.process.ID() == p.ID() && p.StartMillis() <= l.process.StartMillis() {
-		return false
-	}
-	l.process = p
-	return true
-}
-
-// rememberDeparture notes that a process of the backend server, and those with its ID
-// that started before, announced their shutdown. Peers learn of it with the next change
-// of the node's record.
-func (n *Node) rememberDeparture(p gtheartbeat.Process) {
-	if n.departure.set(p) {
-		n.table.SetSelfDeparted(departedText(p), true)
-	}
-}
-
-// departedText returns the text by which peers remember a process that announced its
-// shutdown. It is empty if it would be too long for a record.
-func departedText(p gtheartbeat.Process) string {
-	text := strconv.FormatInt(p.StartMillis(), 10) + " " + p.ID()
-	if len(text) > gtwire.MaxNameBytes {
-		return ""
-	}
-	return text
-}
-
-// handleDeparted processes a peer's memory that a process of the backend server announced
-// its shutdown to an earlier process of this node. A heartbeat of that process may have
-// been held up on its way.
-func (n *Node) handleDeparted(text string) {
-	start, id, _ := strings.Cut(text, " ")
-	millis, err := strconv.ParseInt(start, 10, 64)
-	if err != nil || millis == 0 || id == "" {
-		return
-	}
-	p := gtheartbeat.NewProcess(id, millis)
-	n.table.SetSelfDeparted(text, false)
-	if last, known := n.Heartbeats.MarkDeparted(p); known {
-		n.applyHeartbeat(last)
+	if last.Leaving() {
+		n.awaitDeparture()
 	}
 }
 
@@ -233,17 +166,30 @@
 	if changed {
 		n.table.SetSelfBackend(h.Version(), h.Slots(), self.State())
 	}
-	if h.Leaving() {
-		n.rememberDeparture(h.Process())
-		n.setState(gtmember.Leaving)
-		return
-	}
-	n.setState(gtmember.Ready)
+	n.applyReportedState(h)
 	if changed {
 		n.overlay.Announce(n.table.Self())
 	}
 }
 
+// applyReportedState applies the state that a heartbeat reports. While the node doesn't
+// know whether the process announced its shutdown before this node started, it doesn't
+// take the backend server into use.
+func (n *Node) applyReportedState(h gtheartbeat.Heartbeat) {
+	switch {
+	case h.Leaving():
+		n.rememberDeparture(h.Process())
+		n.setState(gtmember.Leaving)
+	case n.Heartbeats.Admits():
+		n.setState(gtmember.Ready)
+	default:
+		n.recallOnce.Do(func() {
+			n.Log.Info().Str("backend", h.ID()).Msg("backend: waits until earlier departures are known")
+			n.wg.Go(func() { n.recallDepartures(n.runCtx) })
+		})
+	}
+}
+
 // limitWarmUpRate limits the rate of requests while the backend server is warming
 // up, to the rate configured for its service.
 func (n *Node) limitWarmUpRate() {
--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -128,7 +128,9 @@
 	judges         judges
 	servers        servers
 	backend        backendState
-	departure      lastDeparture
+	departures     departures
+	recallOnce     sync.Once
+	runCtx         context.Context // ends when the node stops
 	downDamper     gtmember.Damper
 	stateMu        sync.Mutex
 	installMu      sync.Mutex
@@ -162,6 +164,7 @@
 		return err
 	}
 	defer n.metrics.Close()
+	n.runCtx = runCtx
 	n.overlay.Open(runCtx)
 	n.initBackendState(runCtx)
 	n.start(runCtx, listeners)
--- a/io/version/gtrepository/read.go
+++ b/io/version/gtrepository/read.go
@@ -15,6 +15,8 @@
 //   - delta/VERSION and snap/WRITE-ID/N hold the deltas and the snapshot chunks
 //     from which the accepted version is rebuilt.
 //   - push/N holds the write IDs of past pushes.
+//   - departed/INSTANCE/HASH holds the processes of an instance's backend server that
+//     announced their shutdown.
 //   - contact/ZONE/INSTANCE holds the peer addresses that nodes join through.
 //
 // Each change of the head, the accepted version or a move is a compare-and-swap
