gtplatform: a read of a prefix is of one revision of the store

Cause: pages of a read are of a revision each. The read returned that of the first, but putting the keys together raised it to that of the latest key. A change of an earlier page's key, made between the pages, came before the revision that the watch started from; the version put in force mixed two states of the store.

Ruled out: the watch (delivers what comes after its start), the overlay (no node had the version), the etcd client (reads a range in one call).

--- a/io/process/gtstore/store.go
+++ b/io/process/gtstore/store.go
@@ -20,7 +20,8 @@
 // Store is a client of one key-value store. Its fields are set before use.
 type Store struct {
 	// Range reads the keys from key up to but not including end, or key alone if
-	// end is "".
+	// end is "", as they all were at one revision. A watch after that revision misses
+	// none of their changes.
 	Range func(ctx context.Context, key, end string) (RangeResponse, error)
 	// RangeOutdated is like Range, but what it reads may be some seconds old. It costs
 	// the store less; nil means Range.
