gtpool: keep-alives hold an exchange until its deadline

Cause: each keep-alive moves the read deadline to 1.8 s later, unless that is after the deadline of the request; then the read deadline was left as the keep-alive before had set it.

The new spec is red without the change.

Ruled out: load and stops (it happens without both), keep-alives that are not sent (only the waiting side is changed).

The error says now for how long nothing was received. This explains no case of deployments whose deadlines are below 1.8 s; those are still open.

--- a/io/connection/gtpool/conn.go
+++ b/io/connection/gtpool/conn.go
@@ -61,10 +61,7 @@
 // more than maxHeadBytes.
 func (c *conn) Read(b []byte) (int, error) {
 	if c.expectKeepAlive {
-		keepAliveDeadline := time.Now().Add(gtliveness.KeepAliveTimeout)
-		if c.deadline.IsZero() || keepAliveDeadline.Before(c.deadline) {
-			c.setReadDeadline(keepAliveDeadline)
-		}
+		c.setReadDeadline(c.keepAliveDeadline(time.Now()))
 	}
 	if c.expectHead && c.headBytes >= maxHeadBytes {
 		return 0, errHeadTooLarge
@@ -79,6 +76,16 @@
 	return n, err
 }
 
+// keepAliveDeadline returns the time until which a keep-alive or the response has to come,
+// which is not after the deadline of the exchange.
+func (c *conn) keepAliveDeadline(now time.Time) time.Time {
+	t := now.Add(gtliveness.KeepAliveTimeout)
+	if !c.deadline.IsZero() && c.deadline.Before(t) {
+		return c.deadline
+	}
+	return t
+}
+
 // setReadDeadline sets the read deadline to t. If the context ended just before,
 // t has replaced the pastDeadline that bindContext set. So that the cancellation
 // is not lost, pastDeadline is set again if the context has ended.
--- a/io/connection/gtpool/pool.go
+++ b/io/connection/gtpool/pool.go
@@ -95,7 +95,7 @@
 	case ctx.Err() != nil:
 		return gtkind.Wrap(err, gtkind.Canceled, "wait for the response of %s", c.addr)
 	case isTimeout(err):
-		return gtkind.Wrap(err, gtkind.Unresponsive, "wait for a keep-alive or the response of %s", c.addr)
+		return gtkind.Wrap(err, gtkind.Unresponsive, "wait for a keep-alive or the response of %s: nothing received for %s", c.addr, c.liveness.Idle().Round(time.Millisecond))
 	default:
 		return gtkind.Wrap(err, gtkind.ConnectionLost, "read the response of %s", c.addr)
 	}
--- a/io/connection/gtpool/pool_test.go
+++ b/io/connection/gtpool/pool_test.go
@@ -297,6 +297,35 @@
 	})
 }
 
+// A request at work on which keep-alives arrive must not be broken off before its
+// deadline: once a keep-alive timeout would end after that, the one before must not stay
+// in force (POSTs that ended with 502 "silent" around planned stops).
+func TestKeepAlivesHoldUntilTheDeadline(t *testing.T) {
+	gtclock.Run(t, func(t *testing.T, network *gtpipe.Network) {
+		g := gomega.NewWithT(t)
+		var work time.Duration
+		addr, _ := servePeer(t, network, func(_ int, w io.Writer, _ *http.Request) bool {
+			for left := work; left > 0; left -= gtliveness.KeepAlivePeriod {
+				<-time.After(min(left, gtliveness.KeepAlivePeriod))
+				if _, err := fmt.Fprintf(w, "HTTP/1.1 102 Processing\r\n\r\n"); err != nil {
+					return false
+				}
+			}
+			return writeOK(w)
+		})
+		p := newPool(network)
+		defer p.Close()
+		for deadline := 100 * time.Millisecond; deadline < 6*time.Second; deadline += 100 * time.Millisecond {
+			work = deadline - 10*time.Millisecond
+			ctx, cancel := context.WithTimeout(context.Background(), deadline)
+			body, err := get(ctx, p, addr, false)
+			cancel()
+			g.Expect(err).NotTo(gomega.HaveOccurred(), "deadline %s", deadline)
+			g.Expect(body).To(gomega.Equal("ok"))
+		}
+	})
+}
+
 // With IsMismatched, a late response to an earlier request is discarded and the
 // matching one after it is returned. Without it, the mismatched response is
 // returned.
