gtpool, gtretry: silence ends an attempt only if another may take its place

Callers saw: 502 "silent" seconds before their deadline for POSTs that ran to their end, when the node beside the backend server stood still for a while.

Cause: a hop that received nothing for 1.8 s was given up in any case. A read deadline that passes while the process itself is starved fails the read although bytes have come.

Ruled out: a longer timeout (moves the bound only), a second attempt beside the first (two servers at work where one is slow to answer), TCP keep-alives (would tell a dead machine sooner, which gains such a request nothing).

Mend: after 1.8 s without a byte, and none waiting on the socket, the retry policy is asked whether a retry elsewhere is allowed and has 300 ms; if not, the hop waits on.

Both new specs of gtpool are red without the change.

--- a/core/request/gtretry/retry.go
+++ b/core/request/gtretry/retry.go
@@ -6,6 +6,7 @@
 //	policy := &gtretry.Policy{Now: timer.Time}
 //	policy.RecordFirstAttempt(service) // for each first attempt
 //	if policy.ShouldRetry(attempt) { ... }
+//	if policy.MayGiveUp(attempt) { ... } // nothing is received; the request may be at work
 //
 // Only idempotent requests and requests that provably did not run are retried.
 // Retries after a failure that may have cost a backend server work are limited
@@ -31,6 +32,9 @@
 	tokensPerSecond = 0.2
 	// maxTokens bounds the retries accumulated in a budget.
 	maxTokens = 10
+	// minTimeAfterSilence is the time that has to remain for a retry in place of an
+	// attempt that may still be at work.
+	minTimeAfterSilence = 300 * time.Millisecond
 )
 
 // Attempt describes a failed attempt for the decision whether to retry.
@@ -96,20 +100,43 @@
 // token from the budget if the failed attempt may have cost a backend server
 // work, or shows that the server is short of capacity.
 func (p *Policy) ShouldRetry(a Attempt) bool {
-	row := a.kind.Row()
-	if a.count >= MaxAttempts || a.remaining <= 0 || !row.RetryElsewhere() {
+	if !a.mayBeRetried() {
 		return false
 	}
-	if a.maxServers > 0 && a.serversReached >= a.maxServers {
+	return !a.kind.Row().UsesRetryBudget() || p.spendToken(a.service)
+}
+
+// MayGiveUp reports whether an attempt on which nothing is received, and which may be at
+// work, may be given up for a retry on another backend server: the retry is allowed, and
+// has time to complete. Otherwise the response is worth waiting for.
+func (p *Policy) MayGiveUp(a Attempt) bool {
+	if a.remaining < minTimeAfterSilence || !a.mayBeRetried() {
 		return false
 	}
-	if row.Certainty() != gtkind.NotRun && !a.idempotent {
+	return !a.kind.Row().UsesRetryBudget() || p.hasToken(a.service)
+}
+
+// mayBeRetried reports whether a retry is allowed if the budget has a token for it, where
+// it needs one.
+func (a Attempt) mayBeRetried() bool {
+	row := a.kind.Row()
+	switch {
+	case a.count >= MaxAttempts || a.remaining <= 0 || !row.RetryElsewhere():
 		return false
+	case a.maxServers > 0 && a.serversReached >= a.maxServers:
+		return false
+	case row.Certainty() != gtkind.NotRun && !a.idempotent:
+		return false
+	default:
+		return !row.UsesRetryBudget() || !a.isRetry
 	}
-	if !row.UsesRetryBudget() {
-		return true
-	}
-	return !a.isRetry && p.spendToken(a.service)
+}
+
+// hasToken reports whether the budget of the service has a token.
+func (p *Policy) hasToken(service string) bool {
+	ok := false
+	p.updateBudget(service, func(b *budget) { ok = b.tokens >= 1 })
+	return ok
 }
 
 // spendToken takes a token from the budget of the service and reports whether
--- a/core/request/gtretry/retry_test.go
+++ b/core/request/gtretry/retry_test.go
@@ -61,3 +61,23 @@
 	refused := NewAttempt("s", gtkind.Refused, 2, time.Second)
 	g.Expect(p.ShouldRetry(refused.WithServersReached(0, 1))).To(gomega.BeTrue())
 }
+
+// A request at work was broken off because nothing was received for a while, and the
+// caller got an error in its place (LOST). It may be given up only if another attempt can
+// take its place.
+func TestSilentAttemptIsGivenUpOnlyForARetry(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := &Policy{Now: func() time.Time { return time.Unix(1000, 0) }}
+	p.RecordFirstAttempt("s")
+	silent := NewAttempt("s", gtkind.Unresponsive, 1, time.Second).WithIdempotent(true).WithServersReached(1, 2)
+	g.Expect(p.MayGiveUp(silent)).To(gomega.BeTrue())
+	g.Expect(p.MayGiveUp(silent)).To(gomega.BeTrue(), "asking takes nothing from the budget")
+	g.Expect(p.MayGiveUp(silent.WithIdempotent(false))).To(gomega.BeFalse(), "it may run once only")
+	g.Expect(p.MayGiveUp(silent.WithServersReached(2, 2))).To(gomega.BeFalse(), "it may reach no other server")
+	g.Expect(p.MayGiveUp(silent.WithRetry(true))).To(gomega.BeFalse(), "it is a retry")
+	short := NewAttempt("s", gtkind.Unresponsive, 1, minTimeAfterSilence-1).WithIdempotent(true)
+	g.Expect(p.MayGiveUp(short)).To(gomega.BeFalse(), "no time for another")
+	g.Expect(p.ShouldRetry(silent)).To(gomega.BeTrue())
+	g.Expect(p.MayGiveUp(silent)).To(gomega.BeFalse(), "the budget is used up")
+	g.Expect(p.ShouldRetry(silent)).To(gomega.BeFalse())
+}
--- a/io/connection/gtpool/conn.go
+++ b/io/connection/gtpool/conn.go
@@ -13,6 +13,7 @@
 	"github.com/joomcode/errorx"
 
 	"godwittide/core/connection/gtliveness"
+	"godwittide/io/connection/gtsocket"
 )
 
 // PingPath is the path of ping requests between nodes.
@@ -39,6 +40,7 @@
 	deadline        time.Time    // of the current exchange; zero means none
 	ctxDone         *atomic.Bool // the context of the current exchange has ended
 	expectKeepAlive bool         // reads time out after gtliveness.KeepAliveTimeout
+	giveUp          func() bool  // whether to end an exchange on which nothing comes; nil means yes
 	expectHead      bool         // the head of the response is not complete
 	headBytes       int          // bytes received while it was not
 	closeOnce       sync.Once
@@ -57,16 +59,16 @@
 
 // Read reads from the connection and records in its liveness that data was
 // received. While a keep-alive is expected, it waits no longer than
-// gtliveness.KeepAliveTimeout. While the head of a response is expected, it receives no
-// more than maxHeadBytes.
+// gtliveness.KeepAliveTimeout, unless the exchange is to go on without one. While the
+// head of a response is expected, it receives no more than maxHeadBytes.
 func (c *conn) Read(b []byte) (int, error) {
-	if c.expectKeepAlive {
-		c.setReadDeadline(c.keepAliveDeadline(time.Now()))
-	}
 	if c.expectHead && c.headBytes >= maxHeadBytes {
 		return 0, errHeadTooLarge
 	}
-	n, err := c.nc.Read(b)
+	n, err := c.read(b)
+	for n == 0 && isTimeout(err) && c.goesOnInSilence() {
+		n, err = c.read(b)
+	}
 	if n > 0 {
 		c.liveness.Received()
 	}
@@ -76,6 +78,24 @@
 	return n, err
 }
 
+// read reads once, and while a keep-alive is expected no longer than until it is due.
+func (c *conn) read(b []byte) (int, error) {
+	if c.expectKeepAlive {
+		c.setReadDeadline(c.keepAliveDeadline(time.Now()))
+	}
+	return c.nc.Read(b)
+}
+
+// goesOnInSilence reports whether the exchange goes on although no keep-alive came in
+// time: bytes have come meanwhile, as this process may have been short of processor time,
+// or the exchange is not to be given up.
+func (c *conn) goesOnInSilence() bool {
+	if !c.expectKeepAlive || c.ctxDone.Load() || c.deadlinePassed() {
+		return false
+	}
+	return gtsocket.Peek(c.nc) == gtsocket.Unread || c.giveUp != nil && !c.giveUp()
+}
+
 // keepAliveDeadline returns the time until which a keep-alive or the response has to come,
 // which is not after the deadline of the exchange.
 func (c *conn) keepAliveDeadline(now time.Time) time.Time {
@@ -111,6 +131,7 @@
 // active; if not, the connection must not be reused.
 func (c *conn) bindContext(ctx context.Context) func() bool {
 	c.deadline, _ = ctx.Deadline()
+	c.giveUp, _ = ctx.Value(giveUpKey{}).(func() bool)
 	_ = c.nc.SetDeadline(c.deadline)
 	ctxDone := &atomic.Bool{}
 	c.ctxDone = ctxDone
@@ -125,6 +146,16 @@
 // the context, so the context alone doesn't show it.
 func (c *conn) deadlinePassed() bool { return !c.deadline.IsZero() && !time.Now().Before(c.deadline) }
 
+// giveUpKey is the context key of the function that WithGiveUp adds.
+type giveUpKey struct{}
+
+// WithGiveUp adds to the context of a call a function that decides, each time that nothing
+// was received for gtliveness.KeepAliveTimeout, whether the exchange ends as Unresponsive
+// (true) or goes on until its deadline. Without one it ends.
+func WithGiveUp(ctx context.Context, giveUp func() bool) context.Context {
+	return context.WithValue(ctx, giveUpKey{}, giveUp)
+}
+
 // exchange writes a request and reads the header of its response. It skips
 // interim responses, which serve as keep-alives, and mismatched responses.
 func (c *conn) exchange(req *http.Request) (*http.Response, error) {
--- a/io/connection/gtpool/pool_test.go
+++ b/io/connection/gtpool/pool_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"os"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -17,6 +19,7 @@
 	"godwittide/core/connection/gtliveness"
 	"godwittide/core/request/gtkind"
 	"godwittide/io/connection/gtpipe"
+	"godwittide/io/connection/gtsocket"
 	"godwittide/test/gtclock"
 )
 
@@ -326,6 +329,89 @@
 	})
 }
 
+// A peer that sends nothing for a while, short of processor time, may still run the
+// request: unless the caller gives it up, the exchange goes on until its deadline.
+func TestSilentExchangeGoesOnUnlessGivenUp(t *testing.T) {
+	gtclock.Run(t, func(t *testing.T, network *gtpipe.Network) {
+		g := gomega.NewWithT(t)
+		const work = 5 * time.Second
+		ended := make(chan struct{})
+		defer close(ended)
+		addr, _ := servePeer(t, network, func(_ int, w io.Writer, _ *http.Request) bool {
+			select {
+			case <-ended:
+				return false
+			case <-time.After(work):
+				return writeOK(w)
+			}
+		})
+		p := newPool(network)
+		defer p.Close()
+		asked := 0
+		for _, c := range []struct {
+			giveUpAt int
+			deadline time.Duration
+			want     gtkind.Kind
+			after    time.Duration
+		}{
+			{1000, 2 * work, gtkind.None, work},
+			{1000, work - 1, gtkind.Deadline, work - 1},
+			{1, 2 * work, gtkind.Unresponsive, gtliveness.KeepAliveTimeout},
+			{2, 2 * work, gtkind.Unresponsive, 2 * gtliveness.KeepAliveTimeout},
+		} {
+			asked = 0
+			ctx, cancel := context.WithTimeout(context.Background(), c.deadline)
+			ctx = WithGiveUp(ctx, func() bool {
+				asked++
+				return asked >= c.giveUpAt
+			})
+			start := time.Now()
+			_, err := get(ctx, p, addr, false)
+			cancel()
+			g.Expect(gtkind.Of(err).String()).To(gomega.Equal(c.want.String()), "%+v: %v", c, err)
+			g.Expect(time.Since(start)).To(gomega.Equal(c.after), "%+v", c)
+		}
+	})
+}
+
+// starvedConn is a connection whose process gets no processor time until its first read
+// deadline has passed: the read fails, although bytes have come.
+type starvedConn struct {
+	net.Conn
+	starved bool
+}
+
+// Read fails once with a timeout when bytes are waiting.
+func (c *starvedConn) Read(b []byte) (int, error) {
+	if !c.starved {
+		c.starved = true
+		for gtsocket.Peek(c.Conn) != gtsocket.Unread {
+			time.Sleep(time.Millisecond)
+		}
+		return 0, os.ErrDeadlineExceeded
+	}
+	return c.Conn.Read(b)
+}
+
+// NetConn returns the connection.
+func (c *starvedConn) NetConn() net.Conn { return c.Conn }
+
+// A read deadline that passed while this process was short of processor time says
+// nothing about the peer: the response may have come.
+func TestResponseThatCameWhileThisProcessWasStarvedIsRead(t *testing.T) {
+	g := gomega.NewWithT(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
+	defer server.Close()
+	p := &Pool{Now: time.Now, SupportsPing: true, MaxConns: 4, Dial: func(_ context.Context, addr string) (net.Conn, error) {
+		c, err := net.Dial("tcp", addr)
+		return &starvedConn{Conn: c}, err
+	}}
+	defer p.Close()
+	body, err := get(context.Background(), p, server.Listener.Addr().String(), true)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(body).To(gomega.Equal("ok"))
+}
+
 // With IsMismatched, a late response to an earlier request is discarded and the
 // matching one after it is returned. Without it, the mismatched response is
 // returned.
--- a/io/request/gtedge/edge.go
+++ b/io/request/gtedge/edge.go
@@ -29,6 +29,7 @@
 	"godwittide/core/version/gtcanary"
 	"godwittide/core/version/gtconfig"
 	"godwittide/core/version/gtdelta"
+	"godwittide/io/connection/gtpool"
 	"godwittide/io/request/gthop"
 )
 
@@ -227,7 +228,7 @@
 			}
 			return gtcall.Response{}, err
 		}
-		resp, err := e.attempt(ctx, c, to)
+		resp, err := e.attempt(e.withGiveUp(ctx, c, count, reached+1), c, to)
 		k := gtkind.Of(err)
 		if err == nil && c.Idempotent() && resp.Status() == http.StatusServiceUnavailable {
 			k = gtkind.Shed
@@ -257,8 +258,22 @@
 	if ctx.Err() != nil || e.Crashes.IsBlocked(c.Fingerprint()) {
 		return false
 	}
+	return e.Retry.ShouldRetry(e.failedAttempt(c, k, count, reached))
+}
+
+// failedAttempt returns the last of count attempts of a call, of which reached may have
+// reached a backend server, as one that fails now with kind k.
+func (e *Edge) failedAttempt(c gtcall.Call, k gtkind.Kind, count, reached int) gtretry.Attempt {
 	failed := gtretry.NewAttempt(c.Service(), k, count, c.Deadline().Sub(e.Now()))
-	return e.Retry.ShouldRetry(failed.WithIdempotent(c.Idempotent()).WithRetry(c.IsRetry()).WithServersReached(reached, c.MaxBackends()))
+	return failed.WithIdempotent(c.Idempotent()).WithRetry(c.IsRetry()).WithServersReached(reached, c.MaxBackends())
+}
+
+// withGiveUp returns the context of an attempt that is given up when nothing is received,
+// but only if another instance may take the request in its place.
+func (e *Edge) withGiveUp(ctx context.Context, c gtcall.Call, count, reached int) context.Context {
+	return gtpool.WithGiveUp(ctx, func() bool {
+		return len(e.Instances(c.Service())) > count && e.Retry.MayGiveUp(e.failedAttempt(c, gtkind.Unresponsive, count, reached))
+	})
 }
 
 // retryCall returns the call for the next attempt, after one that failed with
@@ -321,6 +336,7 @@
 		_, err := e.Router.Pick(cfg, gtroute.NewQuery(c.Service()).WithKey(c.Key()))
 		return gtcall.Response{}, err
 	}
+	ctx = gtpool.WithGiveUp(ctx, func() bool { return false }) // no other node may run it meanwhile
 	released, unreachable := 0, 0
 	var lastErr error
 	for _, to := range ranked {
