gtpool: a kept connection that a node has closed is not reused

Callers saw: 502 "cut" 1 to 15 ms after a GET was sent, at nodes that were not stopping, while others were stopped in turn.

Cause: a kept connection to a node was reused for a GET up to 5 s after its last byte, without a look at its socket. A node that stops closes it and is back within that time; the retry met another restarted node likewise.

Ruled out: the backend servers (none ran such a request), the stops themselves (the nodes had ended seconds before).

Mend: the socket is looked at before reuse, as it was for backend servers: closed or with unread bytes, the connection is replaced.

The new rows of IdleConnectionIsChecked are red without the change.

--- a/io/connection/gtpool/pool.go
+++ b/io/connection/gtpool/pool.go
@@ -42,9 +42,7 @@
 	// only reused while it is fresh.
 	SupportsPing bool
 	// MaxReuseIdle is the longest time that a connection may have been idle and
-	// still be reused. It is meant for a server that sends nothing between
-	// responses: a connection that was closed by the server, or that has unread
-	// bytes, is replaced. If it is 0, reuse depends on the connection's liveness and
+	// still be reused. If it is 0, reuse depends on the connection's liveness and
 	// on pings instead.
 	MaxReuseIdle time.Duration
 	// IsMismatched reports whether resp is a mismatched response, one to another
@@ -117,15 +115,20 @@
 }
 
 // get returns an idle connection that may carry the request, or a new one. It
-// closes idle connections that are not reusable.
+// closes idle connections that are not reusable: also those that the server has closed,
+// as one does that restarts, or that have unread bytes.
 func (p *Pool) get(ctx context.Context, addr, class string, idempotent bool) (*conn, error) {
 	for {
 		c := p.popIdle(addr, class)
 		if c == nil {
 			return p.dial(ctx, addr, class)
 		}
+		if !c.isReusable() {
+			c.close()
+			continue
+		}
 		if p.MaxReuseIdle > 0 {
-			if c.liveness.Idle() <= p.MaxReuseIdle && c.isReusable() {
+			if c.liveness.Idle() <= p.MaxReuseIdle {
 				return c, nil
 			}
 			c.close()
--- a/io/connection/gtpool/pool_test.go
+++ b/io/connection/gtpool/pool_test.go
@@ -450,12 +450,23 @@
 // An idle connection to a server that sends nothing between responses is reused,
 // unless it was closed or has unread bytes.
 func TestIdleConnectionIsChecked(t *testing.T) {
+	const extra = "HTTP/1.1 200 OK\r\n\r\n"
 	for _, c := range []struct {
-		name     string
-		extra    string
-		keepOpen bool
-		want     int64
-	}{{"idle", "", true, 1}, {"unread bytes", "HTTP/1.1 200 OK\r\n\r\n", true, 2}, {"closed", "", false, 2}} {
+		name       string
+		extra      string
+		keepOpen   bool
+		want       int64
+		idempotent bool
+		maxIdle    time.Duration // of a backend server; 0 means a node
+	}{
+		{"idle", "", true, 1, false, time.Minute},
+		{"unread bytes", extra, true, 2, false, time.Minute},
+		{"closed", "", false, 2, false, time.Minute},
+		{"idle node", "", true, 1, true, 0},
+		{"unread bytes of a node", extra, true, 2, true, 0},
+		{"closed by a node that has restarted", "", false, 2, true, 0},
+		{"closed by a node that has restarted, POST", "", false, 2, false, 0},
+	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -492,12 +503,12 @@
 				Dial: func(ctx context.Context, addr string) (net.Conn, error) {
 					return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
 				},
-				Now: time.Now, MaxConns: 5, MaxReuseIdle: time.Minute,
+				Now: time.Now, MaxConns: 5, MaxReuseIdle: c.maxIdle, SupportsPing: c.maxIdle == 0,
 			}
 			defer p.Close()
 			for range 2 {
 				req, _ := http.NewRequest("POST", "http://x/", nil)
-				resp, err := p.Do(context.Background(), ln.Addr().String(), "", req, false)
+				resp, err := p.Do(context.Background(), ln.Addr().String(), "", req, c.idempotent)
 				g.Expect(err).NotTo(gomega.HaveOccurred())
 				resp.Body.Close()
 				idle := p.popIdle(ln.Addr().String(), "")
