gtnode, gthop: a node that stops tells peers whose request crosses its close

Callers saw: a 502 for a request that had not run, where a stopping node closed a kept connection in the moment in which a peer's request was on its way; one that may not be repeated was lost by it.

Cause: a connection that closes after a request was written says nothing about whether it ran. Callers get a notice "not run" before such a close; peers got none. The HTTP server closed connections that became idle during its shutdown by itself, without one.

Evidence: the new spec, 20 stops under load by eight kept connections: red without the notice, and with it as long as the HTTP server closed connections.

Ruled out: the notice being lost to a reset (on the client's side what has come is read first); a trace showed closes before the notice was written.

Mend: peers get the notice and take it for a refusal; what becomes idle while the servers close is closed with it, before the HTTP server's own shutdown begins. From the end of the linger period on, responses to peers ask to close the connection.

--- a/core/process/gtdrain/drain.go
+++ b/core/process/gtdrain/drain.go
@@ -36,14 +36,16 @@
 // Begun reports whether the shutdown has begun.
 func (d *Drain) Begun() bool { return !d.begun.Time().IsZero() }
 
+// LingerEnded reports whether the shutdown has begun and callers know of it.
+func (d *Drain) LingerEnded() bool {
+	begun := d.begun.Time()
+	return !begun.IsZero() && d.Now().Sub(begun) >= d.Linger
+}
+
 // MayBegin reports whether a request with the given deadline may begin now: it ends
 // before the shutdown does, or its caller may not know of the shutdown yet.
 func (d *Drain) MayBegin(deadline time.Time) bool {
-	begun := d.begun.Time()
-	if begun.IsZero() || d.Now().Sub(begun) < d.Linger {
-		return true
-	}
-	return !deadline.After(begun.Add(d.Limit))
+	return !d.LingerEnded() || !deadline.After(d.begun.Time().Add(d.Limit))
 }
 
 // Left returns the time until the end of the shutdown, and 0 after it. It must not
--- a/core/process/gtdrain/drain_test.go
+++ b/core/process/gtdrain/drain_test.go
@@ -18,6 +18,7 @@
 	g.Expect(d.Begun()).To(gomega.BeFalse())
 	d.Begin()
 	g.Expect(d.Begun()).To(gomega.BeTrue())
+	g.Expect(d.LingerEnded()).To(gomega.BeFalse())
 	for _, c := range []struct {
 		at, timeout time.Duration
 		ok          bool
@@ -35,6 +36,7 @@
 		g.Expect(d.MayBegin(now.Add(c.timeout))).To(gomega.Equal(c.ok), "%s after the begin, timeout %s", c.at, c.timeout)
 	}
 	g.Expect(d.Left()).To(gomega.BeZero())
+	g.Expect(d.LingerEnded()).To(gomega.BeTrue())
 	now = start.Add(4 * time.Second)
 	g.Expect(d.Left()).To(gomega.Equal(time.Second))
 }
--- a/io/process/gtnode/idle.go
+++ b/io/process/gtnode/idle.go
@@ -16,39 +16,53 @@
 const noticeWriteTimeout = 10 * time.Millisecond
 
 // closeNotice is the error response written to an idle connection before it is
-// closed. A caller that sends a request at that moment receives it as the
+// closed. A caller or node that sends a request at that moment receives it as the
 // response; a client with no outstanding request treats it as the close of the
 // connection (RFC 9110, 15.5.9).
 var closeNotice = []byte("HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n" +
 	gthop.HeaderKind + ": " + gtkind.Leaving.String() + "\r\n" + gthop.HeaderCertainty + ": " + gtkind.NotRun.String() + "\r\n\r\n")
 
-// idleConns tracks the connections of a server that have no request in flight.
-// Closing one just as a request arrives would lose the request, so connections
+// idleConns tracks the connections of a server, to close those that have no request in
+// flight. Closing one just as a request arrives would lose the request, so connections
 // with unread bytes are left open to be served.
 type idleConns struct {
 	// notice is written to a connection before it is closed; nil means none. A
 	// connection that has had no request yet is closed only with a notice.
 	notice []byte
 
-	mu    sync.Mutex
-	conns map[net.Conn]bool // idle connections; false once the notice has been sent
+	mu      sync.Mutex
+	conns   map[net.Conn]connState
+	closing bool // connections that become idle are closed
 }
 
+// connState is the state of a tracked connection.
+type connState int
+
+// The states. Without a notice only idle connections are tracked.
+const (
+	connActive connState = iota
+	connIdle
+	connNotified // the notice has been sent; it can't be withdrawn
+)
+
 // trackState records the state of a connection. It is the ConnState hook of
 // http.Server.
 func (i *idleConns) trackState(c net.Conn, state http.ConnState) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if i.conns == nil {
-		i.conns = map[net.Conn]bool{}
+		i.conns = map[net.Conn]connState{}
 	}
-	idle, known := i.conns[c]
 	switch {
 	case state == http.StateClosed || state == http.StateHijacked:
 		delete(i.conns, c)
-	case known && !idle: // the notice has been sent; it can't be withdrawn
+	case i.conns[c] == connNotified:
+	case state == http.StateIdle && i.closing && i.notice != nil:
+		i.closeWithNotice(c)
 	case state == http.StateIdle, state == http.StateNew && i.notice != nil:
-		i.conns[c] = true
+		i.conns[c] = connIdle
+	case i.notice != nil:
+		i.conns[c] = connActive
 	default:
 		delete(i.conns, c)
 	}
@@ -57,34 +71,53 @@
 // wasNotified reports whether the notice has been sent on the connection of a
 // request. The notice says that the request was not run, so it must not be run.
 func (i *idleConns) wasNotified(r *http.Request) bool {
-	c := gtsocket.Conn(r.Context())
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	idle, known := i.conns[c]
-	return known && !idle
+	return i.conns[gtsocket.Conn(r.Context())] == connNotified
 }
 
-// close closes the idle connections without unread bytes, and returns the number
-// of those with unread bytes, which it leaves open.
+// closeWhen wraps a handler so that it asks callers to close their connections once
+// draining is true, and aborts requests on connections whose close notice has been sent.
+func (i *idleConns) closeWhen(draining func() bool, h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if i.wasNotified(r) {
+			panic(http.ErrAbortHandler) // the request arrived while the notice was being sent
+		}
+		if draining() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// close closes the idle connections without unread bytes, and from then on each that
+// becomes idle, if there is a notice. It returns the number of those that are to be waited
+// for: with unread bytes, or with a request in flight after which the notice is sent.
 func (i *idleConns) close() int {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	unread := 0
-	for c, idle := range i.conns {
+	i.closing = true
+	left := 0
+	for c, state := range i.conns {
 		switch {
-		case !idle:
-			continue
-		case gtsocket.Peek(c) == gtsocket.Unread:
-			unread++
-			continue
+		case state == connNotified:
+		case state == connActive || gtsocket.Peek(c) == gtsocket.Unread:
+			left++
 		case i.notice == nil:
 			delete(i.conns, c)
+			_ = c.Close()
 		default:
-			i.conns[c] = false
-			_ = c.SetWriteDeadline(time.Now().Add(noticeWriteTimeout))
-			_, _ = c.Write(i.notice)
+			i.closeWithNotice(c)
 		}
-		_ = c.Close()
 	}
-	return unread
+	return left
+}
+
+// closeWithNotice writes the notice to an idle connection and closes it. The caller holds
+// the lock.
+func (i *idleConns) closeWithNotice(c net.Conn) {
+	i.conns[c] = connNotified
+	_ = c.SetWriteDeadline(time.Now().Add(noticeWriteTimeout))
+	_, _ = c.Write(i.notice)
+	_ = c.Close()
 }
--- a/io/process/gtnode/idle_test.go
+++ b/io/process/gtnode/idle_test.go
@@ -76,25 +76,25 @@
 // notice was being sent must not be run.
 func TestRequestAfterNoticeIsNotRun(t *testing.T) {
 	g := gomega.NewWithT(t)
-	n := &Node{}
-	n.servers.edgeConns.notice = closeNotice
+	conns := idleConns{notice: closeNotice}
 	ran := 0
-	h := n.closeConnsOnDrain(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { ran++ }))
+	draining := func() bool { return false }
+	h := conns.closeWhen(draining, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { ran++ }))
 	_, server := connPair(t)
 	r := httptest.NewRequest("POST", "/", nil)
 	r = r.WithContext(gtsocket.WithConn(r.Context(), server))
 	serve := func() { h.ServeHTTP(httptest.NewRecorder(), r) }
-	n.servers.edgeConns.trackState(server, http.StateNew)
-	n.servers.edgeConns.trackState(server, http.StateActive)
+	conns.trackState(server, http.StateNew)
+	conns.trackState(server, http.StateActive)
 	serve()
 	g.Expect(ran).To(gomega.Equal(1))
-	n.servers.edgeConns.trackState(server, http.StateIdle)
-	g.Expect(n.servers.edgeConns.close()).To(gomega.BeZero())
-	n.servers.edgeConns.trackState(server, http.StateActive)
+	conns.trackState(server, http.StateIdle)
+	g.Expect(conns.close()).To(gomega.BeZero())
+	conns.trackState(server, http.StateActive)
 	g.Expect(serve).To(gomega.PanicWith(http.ErrAbortHandler))
 	g.Expect(ran).To(gomega.Equal(1))
-	n.servers.edgeConns.trackState(server, http.StateClosed)
-	g.Expect(n.servers.edgeConns.conns).To(gomega.BeEmpty())
+	conns.trackState(server, http.StateClosed)
+	g.Expect(conns.conns).To(gomega.BeEmpty())
 }
 
 // Callers may open connections in advance. One that has had no request yet is
--- a/io/process/gtnode/serve.go
+++ b/io/process/gtnode/serve.go
@@ -155,11 +155,12 @@
 	if n.Middleware != nil {
 		edgeHandler = n.Middleware(edgeHandler)
 	}
-	n.servers.edge = n.newServer(n.closeConnsOnDrain(edgeHandler))
-	n.servers.hop = n.newServer(n.hopHandler)
+	n.servers.edge = n.newServer(n.servers.edgeConns.closeWhen(n.drain.Begun, edgeHandler))
+	n.servers.hop = n.newServer(n.servers.hopConns.closeWhen(n.drain.LingerEnded, n.hopHandler))
 	n.servers.admin = n.newServer(n.adminHandler())
 	n.servers.listeners = l
 	n.servers.edge.ConnState, n.servers.hop.ConnState = n.servers.edgeConns.trackState, n.servers.hopConns.trackState
+	n.servers.hopConns.notice = closeNotice
 	if n.Dialect.ErrorWriter == nil { // callers of other dialects may not understand the notice
 		n.servers.edgeConns.notice = closeNotice
 	}
@@ -179,21 +180,6 @@
 	n.wg.Go(func() { n.acceptPeers(ctx, &limitListener{Listener: l.peer, maxConns: maxPeerConns}) })
 }
 
-// closeConnsOnDrain wraps a handler so that it asks callers to close their
-// connections while the node drains, and aborts requests on connections whose
-// close notice has been sent.
-func (n *Node) closeConnsOnDrain(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if n.servers.edgeConns.wasNotified(r) {
-			panic(http.ErrAbortHandler) // the request arrived while the notice was being sent
-		}
-		if n.drain.Begun() {
-			w.Header().Set("Connection", "close")
-		}
-		h.ServeHTTP(w, r)
-	})
-}
-
 // acceptPeers accepts control connections of peers until the listener is closed.
 func (n *Node) acceptPeers(ctx context.Context, ln net.Listener) {
 	for {
--- a/io/process/gtnode/shutdown_test.go
+++ b/io/process/gtnode/shutdown_test.go
@@ -3,15 +3,19 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
 
 	"godwittide/core/process/gttimer"
+	"godwittide/io/connection/gtsocket"
 )
 
 // slowListener accepts connections late, as a process does that is short of processor
@@ -62,3 +66,86 @@
 		resp.Body.Close()
 	}
 }
+
+// Peers go on sending requests on kept connections until the moment in which a node that
+// stops closes them. Each request must be answered, or told that it has not run.
+func TestStopCutsNoRequestOfAPeerOnAKeptConnection(t *testing.T) {
+	g := gomega.NewWithT(t)
+	listen := func() net.Listener {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		return ln
+	}
+	for range 20 {
+		s := &servers{listeners: listeners{edge: listen(), hop: listen(), peer: listen()}}
+		s.listeners.hopSocket = s.listeners.hop
+		s.hopConns.notice = closeNotice
+		ran := make(map[string]bool)
+		var draining atomic.Bool
+		var mu sync.Mutex
+		h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			mu.Lock()
+			defer mu.Unlock()
+			ran[r.URL.Path] = true
+			_, _ = io.WriteString(w, "served")
+		})
+		s.edge, s.admin = &http.Server{Handler: h}, &http.Server{}
+		s.hop = &http.Server{Handler: s.hopConns.closeWhen(draining.Load, h), ConnState: s.hopConns.trackState, ConnContext: gtsocket.WithConn}
+		go func() { _ = s.edge.Serve(s.listeners.edge) }()
+		go func() { _ = s.hop.Serve(s.listeners.hop) }()
+		results := make([]string, 8)
+		var wg sync.WaitGroup
+		for i := range results {
+			c, err := net.Dial("tcp", s.listeners.hop.Addr().String())
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			wg.Go(func() {
+				defer c.Close()
+				results[i] = sendUntilClosed(c, i, func(path string) bool {
+					mu.Lock()
+					defer mu.Unlock()
+					return ran[path]
+				})
+			})
+		}
+		time.Sleep(5 * time.Millisecond)
+		ctx, cancel := context.WithCancel(context.Background())
+		timer := &gttimer.Service{}
+		go timer.Run(ctx)
+		draining.Store(true)
+		s.shutdown(ctx, timer, 0)
+		wg.Wait()
+		cancel()
+		for _, result := range results {
+			g.Expect(result).To(gomega.Or(gomega.Equal("not run"), gomega.Equal("told to close")))
+		}
+	}
+}
+
+// sendUntilClosed sends requests on a connection, one after the other, until the server
+// closes it. It returns what became of the last one.
+func sendUntilClosed(c net.Conn, client int, ran func(path string) bool) string {
+	r := bufio.NewReader(c)
+	for n := 0; ; n++ {
+		path := fmt.Sprintf("/%d/%d", client, n)
+		if _, err := fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", path); err != nil && r.Buffered() == 0 {
+			// The notice may have come before the request was written.
+			if resp, readErr := http.ReadResponse(r, nil); readErr != nil || resp.StatusCode != http.StatusRequestTimeout {
+				return fmt.Sprintf("not written: %v, %v", err, readErr)
+			}
+			return "not run"
+		}
+		resp, err := http.ReadResponse(r, nil)
+		switch {
+		case err != nil:
+			return fmt.Sprintf("cut off: %v", err)
+		case resp.StatusCode == http.StatusRequestTimeout && !ran(path):
+			return "not run"
+		case resp.StatusCode != http.StatusOK:
+			return resp.Status
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		if resp.Close {
+			return "told to close"
+		}
+	}
+}
--- a/io/request/gthop/client.go
+++ b/io/request/gthop/client.go
@@ -76,9 +76,23 @@
 	return req, nil
 }
 
+// isCloseNotice reports whether a response is the notice that a node writes to an idle
+// connection before it closes it. It has no metadata, and no request that comes after it
+// runs.
+func isCloseNotice(resp *http.Response) bool {
+	h := resp.Header
+	return resp.StatusCode == http.StatusRequestTimeout && h.Get(HeaderResponse) == "" && h.Get(HeaderKind) == gtkind.Leaving.String()
+}
+
 // receive returns the response to a call, or the error that the peer reported in
 // it. It discards a mismatched response.
 func (cl *Client) receive(httpResp *http.Response, c gtcall.Call, to gtmember.Record, finish func(error)) (gtcall.Response, error) {
+	if isCloseNotice(httpResp) {
+		err := gtkind.New(gtkind.Leaving, "instance %s closed the idle connection that the request was sent on", to.Instance())
+		gtpool.Discard(httpResp)
+		finish(err)
+		return gtcall.Response{}, err
+	}
 	meta := decodeResponseMeta(httpResp.Header.Get(HeaderResponse))
 	if meta.id != c.ID() {
 		err := gtkind.New(gtkind.MismatchedResponse, "response from instance %s has request ID %.40q, expected %q", to.Instance(), meta.id, c.ID())
--- a/io/request/gthop/client_test.go
+++ b/io/request/gthop/client_test.go
@@ -160,3 +160,23 @@
 		g.Expect(gtkind.Detail(err)).To(gomega.ContainSubstring("no room"))
 	})
 }
+
+// A node that stops closes an idle connection in the moment in which a request is on its
+// way: its notice says that the request has not run, so that it may be sent to another
+// node, also if it must not run twice.
+func TestCloseNoticeMeansNotRun(t *testing.T) {
+	gtclock.Run(t, func(t *testing.T, network *gtpipe.Network) {
+		g := gomega.NewWithT(t)
+		for kind, want := range map[string]gtkind.Kind{"leaving": gtkind.Leaving, "": gtkind.MismatchedResponse} {
+			_, pool, addr, err := sendTo(t, network, func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Connection", "close")
+				w.Header().Set(HeaderKind, kind)
+				w.WriteHeader(http.StatusRequestTimeout)
+			})
+			g.Expect(gtkind.Of(err)).To(gomega.Equal(want))
+			g.Expect(pool.OpenConns(addr)).To(gomega.BeZero())
+		}
+		g.Expect(gtkind.Leaving.Row().Certainty()).To(gomega.Equal(gtkind.NotRun))
+		g.Expect(gtkind.Leaving.Row().RetryElsewhere()).To(gomega.BeTrue())
+	})
+}
