gtsoak: runs of planned stops that overlap, under requests that take long

It checks that no request is broken off: each gets its backend server's response, or a refusal that says "not run", unless its timeout was reached or no connection was made.

--- a/cmd/godwitstand/soak.go
+++ b/cmd/godwitstand/soak.go
@@ -22,13 +22,16 @@
 	Seeds   int     `help:"Number of runs, each with the next seed." default:"1"`
 	Minutes float64 `help:"Minutes during which faults are injected, in each run." default:"1"`
 	Sites   int     `help:"Number of backend servers, each with its own node." default:"6"`
+	Stops   bool    `help:"Stop nodes in turn, overlapping, under requests that take long, in place of random faults."`
+	Busy    int     `help:"Goroutines that only compute beside the nodes." default:"0"`
 	Plant   string  `help:"Run nodes with a fault: lie, twice, mix or leave, see plant --help." default:"" enum:",lie,twice,mix,leave"`
 	Keep    string  `help:"Folder for settings and logs of the nodes; those of runs without findings are removed." placeholder:"DIR"`
 }
 
 // Help returns examples.
 func (c *soakCommand) Help() string {
-	return gtcommand.Examples("godwitstand soak --program ./godwittide --seed 7 --minutes 1", "godwitstand soak --program ./godwittide --seed 100 --seeds 50 --minutes 0.5")
+	return gtcommand.Examples("godwitstand soak --program ./godwittide --seed 7 --minutes 1", "godwitstand soak --program ./godwittide --seed 100 --seeds 50 --minutes 0.5",
+		"godwitstand soak --program ./godwittide --seed 1 --stops --sites 40 --busy 8 --minutes 0.5")
 }
 
 // Run runs the soak tests one after the other. It fails if a guarantee was
@@ -53,7 +56,7 @@
 		if err := os.MkdirAll(dir, 0o700); err != nil {
 			return errorx.Decorate(err, "create the folder of a run")
 		}
-		soak := &gtsoak.Soak{NodeCommand: nodeCommand, Dir: dir, Seed: c.Seed + i, FaultTime: time.Duration(c.Minutes * float64(time.Minute)), Sites: c.Sites}
+		soak := &gtsoak.Soak{NodeCommand: nodeCommand, Dir: dir, Seed: c.Seed + i, FaultTime: time.Duration(c.Minutes * float64(time.Minute)), Sites: c.Sites, Stops: c.Stops, Busy: c.Busy}
 		report, err := soak.Run(env.Context())
 		if err != nil {
 			return err
--- a/io/process/gtsoak/callers.go
+++ b/io/process/gtsoak/callers.go
@@ -13,8 +13,6 @@
 )
 
 const (
-	// meanCallInterval is the mean time between two requests of one caller.
-	meanCallInterval = 25 * time.Millisecond
 	// callTimeout bounds the time of one attempt.
 	callTimeout = 5 * time.Second
 	// maxResends is how often a caller resends a request with an idempotency key.
@@ -50,11 +48,11 @@
 // start starts a caller for each site, with connections of its own. The returned
 // function stops the callers and waits until their calls have finished. If runCtx
 // ends, requests aren't resent any more.
-func (c *callers) start(runCtx context.Context, edgeURLs []string, seed uint64) func() {
+func (c *callers) start(runCtx context.Context, edgeURLs []string, seed uint64, interval time.Duration) func() {
 	ctx, cancel := context.WithCancel(runCtx)
 	var wg sync.WaitGroup
 	for i := range edgeURLs {
-		wg.Go(func() { c.run(ctx, runCtx, i, edgeURLs, rand.New(rand.NewPCG(seed, uint64(2+i)))) })
+		wg.Go(func() { c.run(ctx, runCtx, i, edgeURLs, rand.New(rand.NewPCG(seed, uint64(2+i))), interval) })
 	}
 	return func() {
 		cancel()
@@ -65,7 +63,7 @@
 // run is caller i. Until ctx ends it starts calls at random intervals: half of
 // them GET, a quarter POST, and a quarter POST with an idempotency key. The first
 // attempt goes to site i, resends go to random sites.
-func (c *callers) run(ctx, runCtx context.Context, i int, edgeURLs []string, rnd *rand.Rand) {
+func (c *callers) run(ctx, runCtx context.Context, i int, edgeURLs []string, rnd *rand.Rand, interval time.Duration) {
 	get := &gtcluster.Load{Method: "GET", Path: "/lending/x", Timeout: callTimeout}
 	post := &gtcluster.Load{Method: "POST", Path: "/lending/x", Timeout: callTimeout}
 	keyed := &gtcluster.Load{Method: "POST", Path: "/lending/x", Timeout: callTimeout, Keyed: true}
@@ -74,7 +72,7 @@
 	}
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	for n := 0; gttimer.Sleep(ctx, time.Duration(rnd.ExpFloat64()*float64(meanCallInterval))) == nil; n++ {
+	for n := 0; gttimer.Sleep(ctx, time.Duration(rnd.ExpFloat64()*float64(interval))) == nil; n++ {
 		load, body := get, fmt.Sprintf("c%d.%d.", i, n)
 		switch n % 4 {
 		case 1:
--- a/io/process/gtsoak/check.go
+++ b/io/process/gtsoak/check.go
@@ -26,6 +26,9 @@
 			r.checkAtMostOnce(c, executions[c.attempts[0].Body])
 		}
 		r.checkGracefulStops(c)
+		if r.soak.Stops {
+			r.checkNothingBrokenOff(c)
+		}
 		if last := c.attempts[len(c.attempts)-1]; c.attempts[0].SentAt.After(faultsEnded) && !last.OK() {
 			r.reportViolation("after the faults ended, a %s request to %s got: %s", c.method, r.sites[last.site].name, outcome(last))
 		}
--- a/io/process/gtsoak/site.go
+++ b/io/process/gtsoak/site.go
@@ -20,11 +20,6 @@
 )
 
 const (
-	// slots is the configured concurrency limit of each node. The backend servers
-	// accept four times as many requests before they shed load.
-	slots = 10
-	// serviceTime is the mean service time of each backend server.
-	serviceTime = 8 * time.Millisecond
 	// stopTimeout bounds the time in which a node has to exit after a signal.
 	stopTimeout = 30 * time.Second
 )
@@ -59,7 +54,7 @@
 
 // writeSettings chooses the node's ports, starts the proxies and writes the
 // settings file to dir. The ports stay the same over restarts.
-func (s *site) writeSettings(ctx context.Context, dir, backend, store string, peers []string) error {
+func (s *site) writeSettings(ctx context.Context, dir, backend, store string, peers []string, p profile) error {
 	hop, peer := gtcluster.FreeAddress(), gtcluster.FreeAddress()
 	edge, admin := gtcluster.FreeAddress(), gtcluster.FreeAddress()
 	s.edgeURL, s.adminAddress = "http://"+edge, admin
@@ -73,8 +68,8 @@
 	if err != nil {
 		return errorx.Decorate(err, "encode the list of peers")
 	}
-	text := fmt.Sprintf("[node]\ninstance = %q\nzone = %q\npeers = %s\n[listen]\nedge = %q\nhop = %q\npeer = %q\nadmin = %q\n[tell]\nhop = %q\npeer = %q\n[backend]\naddress = %q\nservice = \"lending\"\nversion = \"1\"\nslots = %d\n[store]\nendpoint = %q\n",
-		s.name, s.zone, list, edge, hop, peer, admin, s.hop.addr(), s.peer.addr(), backend, slots, store)
+	text := fmt.Sprintf("[node]\ninstance = %q\nzone = %q\npeers = %s\n[listen]\nedge = %q\nhop = %q\npeer = %q\nadmin = %q\n[tell]\nhop = %q\npeer = %q\n[backend]\naddress = %q\nservice = \"lending\"\nversion = \"1\"\nslots = %d\nfixed = %t\n[store]\nendpoint = %q\n%s",
+		s.name, s.zone, list, edge, hop, peer, admin, s.hop.addr(), s.peer.addr(), backend, p.slots, p.fixedLimit, store, p.limitSettings)
 	s.settingsFile, s.logFile = filepath.Join(dir, s.name+".toml"), filepath.Join(dir, s.name+".log")
 	if err := os.WriteFile(s.settingsFile, []byte(text), 0o600); err != nil {
 		return errorx.Decorate(err, "write the settings file of a node")
--- a/io/process/gtsoak/soak.go
+++ b/io/process/gtsoak/soak.go
@@ -68,6 +68,10 @@
 	// Sites is the number of backend servers, each with its node, in three
 	// availability zones.
 	Sites int
+	// Stops plans stops of nodes in place of faults, under requests that take long.
+	Stops bool
+	// Busy is the number of goroutines that only compute while faults are injected.
+	Busy int
 }
 
 // Report is the result of a soak test. Faults is the number of injected faults, and
@@ -127,7 +131,7 @@
 	if !r.pollUntil(startTimeout, r.converged) {
 		return r.report, errorx.TimeoutElapsed.New("start the nodes: the first configuration isn't active on all of them; see their logs in %s", s.Dir)
 	}
-	stopCallers := r.calls.start(ctx, r.edgeURLs(), s.Seed)
+	stopCallers := r.calls.start(ctx, r.edgeURLs(), s.Seed, s.profile().callInterval)
 	stopWatching := r.watchVersions()
 	r.injectFaults()
 	r.settle()
@@ -144,7 +148,7 @@
 
 // startSites starts the backend servers and the nodes.
 func (r *soakRun) startSites() error {
-	peers := []string{}
+	peers, p := []string{}, r.soak.profile()
 	for i := range r.soak.Sites {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -155,9 +159,9 @@
 		s.onExitFailure = func(s *site, err error) {
 			r.reportViolation("node %s exited unexpectedly or failed to stop: %v; its log is %s", s.name, err, s.logFile)
 		}
-		s.backend = &gtfake.Backend{Name: s.name, Slots: 4 * slots, ServiceTime: serviceTime, Jitter: 0.5, CrashDowntime: backendDowntime}
+		s.backend = &gtfake.Backend{Name: s.name, Slots: 4 * p.slots, ServiceTime: p.serviceTime, Jitter: p.jitter, CrashDowntime: backendDowntime}
 		go func() { _ = s.backend.Run(r.ctx, ln) }()
-		if err := s.writeSettings(r.ctx, r.soak.Dir, ln.Addr().String(), r.cluster.StoreURL(), peers); err != nil {
+		if err := s.writeSettings(r.ctx, r.soak.Dir, ln.Addr().String(), r.cluster.StoreURL(), peers, p); err != nil {
 			return err
 		}
 		r.sites = append(r.sites, s)
@@ -179,13 +183,22 @@
 	return urls
 }
 
+// plan returns the faults of the run.
+func (s *Soak) plan() []fault {
+	if s.Stops {
+		return planStops(s.Seed, s.FaultTime, s.Sites)
+	}
+	return planFaults(s.Seed, s.FaultTime, s.Sites)
+}
+
 // injectFaults injects all planned faults, each in its own goroutine, and waits
 // until they have ended.
 func (r *soakRun) injectFaults() {
 	var wg sync.WaitGroup
 	defer wg.Wait()
+	defer startBusy(r.soak.Busy)()
 	start := time.Now()
-	for _, f := range planFaults(r.soak.Seed, r.soak.FaultTime, len(r.sites)) {
+	for _, f := range r.soak.plan() {
 		r.sleep(f.at - time.Since(start))
 		if r.ctx.Err() != nil {
 			return
@@ -249,7 +262,7 @@
 
 // configFiles returns the files of the configuration folder by name.
 func (r *soakRun) configFiles() map[string]string {
-	text := "[service.lending]\nversion = \"1\"\ntimeout = \"2s\"\n[route.holds]\nservice = \"lending\"\npath = \"/lending\"\n"
+	text := "[service.lending]\nversion = \"1\"\ntimeout = \"" + r.soak.profile().timeout.String() + "\"\n[route.holds]\nservice = \"lending\"\npath = \"/lending\"\n"
 	text += fmt.Sprintf("[route.n%d]\nservice = \"lending\"\npath = \"/n%d\"\n", r.routeNumber, r.routeNumber)
 	for _, zone := range []string{"z1", "z2", "z3"} {
 		if r.zoneDrains[zone] > 0 {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -45,9 +45,15 @@
 // runSoak runs a soak test of nodes that are started by nodeCommand, whose first
 // word is the name of a program in programDir.
 func runSoak(t *testing.T, seed uint64, nodeCommand ...string) gtsoak.Report {
+	t.Helper()
+	return runPlanned(t, &gtsoak.Soak{Seed: seed, FaultTime: faultTime, Sites: sites}, nodeCommand...)
+}
+
+// runPlanned is like runSoak for a soak test whose nodes and folder are not set yet.
+func runPlanned(t *testing.T, soak *gtsoak.Soak, nodeCommand ...string) gtsoak.Report {
 	t.Helper()
 	nodeCommand[0] = filepath.Join(programDir, nodeCommand[0])
-	soak := &gtsoak.Soak{NodeCommand: nodeCommand, Dir: t.TempDir(), Seed: seed, FaultTime: faultTime, Sites: sites}
+	soak.NodeCommand, soak.Dir = nodeCommand, t.TempDir()
 	report, err := soak.Run(t.Context())
 	if err != nil {
 		t.Fatal(err)
@@ -71,6 +77,15 @@
 	}
 }
 
+// TestPlannedStopsBreakOffNoRequest stops nodes in turn, overlapping, under requests that
+// take nearly as long as their timeout: POSTs were answered 502 "silent" while they ran,
+// and what a node took late in its stop was cut off.
+func TestPlannedStopsBreakOffNoRequest(t *testing.T) {
+	t.Parallel()
+	report := runPlanned(t, &gtsoak.Soak{Seed: 1, FaultTime: 2 * faultTime, Sites: 2 * sites, Stops: true, Busy: 2}, "godwittide", "node")
+	gomega.NewWithT(t).Expect(report.Violations).To(gomega.BeEmpty())
+}
+
 // TestPlantedFaultsAreDetected checks that the soak test detects each fault that
 // godwitstand plant puts into a node.
 func TestPlantedFaultsAreDetected(t *testing.T) {
