gtnode: a stop ends by itself within the grace time

Cause: the drain ends 0.8 s before SIGKILL, and closing the servers then waited 1 s for a request that was left.

--- a/io/process/gtnode/serve.go
+++ b/io/process/gtnode/serve.go
@@ -29,8 +29,8 @@
 	// kernel closes the connection (TCP_USER_TIMEOUT).
 	tcpUserTimeout = gtliveness.KeepAliveTimeout
 	// minShutdownTime is the time that closing the connections of the servers gets at
-	// least.
-	minShutdownTime = time.Second
+	// least. It is part of what the platform gives a process beyond the drain.
+	minShutdownTime = 400 * time.Millisecond
 	// idleCheckPeriod is the period at which idle connections with unread bytes are
 	// checked again during shutdown.
 	idleCheckPeriod = 2 * time.Millisecond
