--- a/io/process/gtsoak/plan.go
+++ b/io/process/gtsoak/plan.go
@@ -69,6 +69,8 @@
 		for _, s := range r.sites {
 			r.restartNode(s, seriesDowntime)
 		}
+	case "together":
+		r.restartTogether(f)
 	case "freeze":
 		defer s.beginDisturbance(f.kind)()
 		s.signal(syscall.SIGSTOP, false)
--- a/io/process/gtsoak/stops.go
+++ b/io/process/gtsoak/stops.go
@@ -4,6 +4,7 @@
 	"errors"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -44,13 +45,15 @@
 	meanStopTime = 10 * time.Second
 	// maxStopDowntime bounds the time for which a stopped node stays down.
 	maxStopDowntime = time.Second
+	// stopsTogether is the number of nodes that are stopped at the same moment.
+	stopsTogether = 3
 	// timeoutMargin is the time before a request's timeout from which it counts as
 	// reached.
 	timeoutMargin = 50 * time.Millisecond
 )
 
 // stopKinds lists the kinds of planned work in a run of planned stops.
-var stopKinds = []string{"term", "term", "term", "term", "term", "hup", "change", "series"}
+var stopKinds = []string{"term", "term", "term", "term", "term", "hup", "change", "together"}
 
 // planStops draws planned stops of a run of length d at random, which overlap: a node may
 // be told to stop again while it stops.
@@ -66,6 +69,15 @@
 	return stops
 }
 
+// restartTogether restarts some nodes at the same moment.
+func (r *soakRun) restartTogether(f fault) {
+	var wg sync.WaitGroup
+	for i := range min(stopsTogether, len(r.sites)) {
+		wg.Go(func() { r.restartNode(r.sites[(f.site+i)%len(r.sites)], f.duration) })
+	}
+	wg.Wait()
+}
+
 // checkNothingBrokenOff checks, in a run of planned stops, that no request was broken off:
 // that each got the response of its backend server, or a refusal that says that it has not
 // run, unless its timeout was reached or no connection was made.
