gtfetch, gtoverlay: a frozen announcer of a version holds nobody up

Cause: a node fetched a version from the peer that announced it first, one fetch at a time. If that peer had stopped, the call took its 3 s; who else announced the version was not remembered, and after the failure nobody was asked.

Ruled out: the watch of the store (the other watchers had the version at once).

--- a/io/process/gtoverlay/fetch.go
+++ b/io/process/gtoverlay/fetch.go
@@ -8,6 +8,7 @@
 	"godwittide/core/process/gtmember"
 	"godwittide/core/version/gtcanary"
 	"godwittide/core/version/gtdelta"
+	"godwittide/core/version/gtfetch"
 	"godwittide/io/connection/gtwire"
 )
 
@@ -45,24 +46,47 @@
 	return FetchResponse{Snapshot: &m}
 }
 
-// fetchFrom fetches a higher version from a peer in its own goroutine. Only one
-// fetch runs at a time; a version that is named meanwhile is fetched after it.
+// fetchFrom fetches a version that a peer has announced, from it or from other peers.
 func (o *Overlay) fetchFrom(pl *peerLink, version int64) {
-	if version > o.wantedVersion.Load() {
-		o.wantedVersion.Store(version)
+	o.fetches.Announced(pl.key(), version)
+	o.fetchNext()
+}
+
+// fetchNext starts the next fetch, if one is due, in its own goroutine. Another one is
+// started when it ends, and when it takes long.
+func (o *Overlay) fetchNext() {
+	var linked []string
+	for _, pl := range o.listLinks(false) {
+		linked = append(linked, pl.key())
+	}
+	peer, ok := o.fetches.Next(o.Holder.Current().Snapshot().Version(), linked)
+	if !ok {
+		return
 	}
-	if !o.fetching.CompareAndSwap(false, true) {
+	pl, ok := o.links.Get(peer)
+	if !ok { // the link has ended since the peer announced the version
+		o.fetches.Ended(peer)
+		o.fetchNext()
 		return
 	}
+	ended := make(chan struct{})
 	o.spawn(func() {
+		defer close(ended)
 		err := o.fetch(pl)
-		o.fetching.Store(false)
+		o.fetches.Ended(peer)
 		if err != nil {
 			o.Log.Info().Err(err).Str("peer", pl.instance).Msg("overlay: fetching a version from a peer failed")
-			return
 		}
-		if o.wantedVersion.Load() > o.Holder.Current().Snapshot().Version() {
-			o.fetchFrom(pl, 0)
+		o.fetchNext()
+	})
+	o.spawn(func() {
+		patience := o.Timer.After(gtfetch.Patience)
+		defer patience.Stop()
+		select {
+		case <-ended:
+		case <-o.ctx.Done():
+		case <-patience.C():
+			o.fetchNext()
 		}
 	})
 }
--- a/io/process/gtoverlay/overlay.go
+++ b/io/process/gtoverlay/overlay.go
@@ -37,6 +37,7 @@
 	"godwittide/core/request/gtdedup"
 	"godwittide/core/version/gtcanary"
 	"godwittide/core/version/gtdelta"
+	"godwittide/core/version/gtfetch"
 	"godwittide/core/version/gtmove"
 	"godwittide/io/connection/gtpeer"
 )
@@ -108,8 +109,7 @@
 	syncing       atomic.Bool
 	synced        atomic.Bool
 	lastPause     gttimer.Moment
-	fetching      atomic.Bool
-	wantedVersion atomic.Int64
+	fetches       gtfetch.Fetches
 	bytesSent     atomic.Int64
 	bytesReceived atomic.Int64
 	ctx           context.Context
@@ -149,6 +149,7 @@
 // be called once, before any other method.
 func (o *Overlay) Open(ctx context.Context) {
 	o.ctx = ctx
+	o.fetches.Now = o.Timer.Time
 	o.batchReady = make(chan struct{}, 1)
 	o.planner = gtlink.Planner{Shuffle: rand.Shuffle, ZoneMembers: o.Table.ZoneMembers, ZoneSizes: o.Table.ZoneSizes}
 }
