--- a/io/process/gtnode/backend.go
+++ b/io/process/gtnode/backend.go
@@ -185,7 +185,7 @@
 	default:
 		n.recallOnce.Do(func() {
 			n.Log.Info().Str("backend", h.ID()).Msg("backend: waits until earlier departures are known")
-			n.wg.Go(func() { n.recallDepartures(n.runCtx) })
+			go n.recallDepartures(n.runCtx)
 		})
 	}
 }
--- a/io/process/gtnode/departure.go
+++ b/io/process/gtnode/departure.go
@@ -63,11 +63,18 @@
 	if known {
 		n.applyHeartbeat(last)
 	} else {
-		n.overlay.Announce(n.table.SetSelfState(n.table.Self().State()))
+		n.announceAgain()
 	}
 	n.awaitDeparture()
 }
 
+// announceAgain announces the node's own record with the state that it has.
+func (n *Node) announceAgain() {
+	n.stateMu.Lock()
+	defer n.stateMu.Unlock()
+	n.overlay.Announce(n.table.SetSelfState(n.table.Self().State()))
+}
+
 // rememberDeparture notes that a process of the backend server, and those with its ID
 // that started before, announced their shutdown. Peers learn of it with the next change
 // of the node's record. The store is written to in another thread.
@@ -81,7 +88,7 @@
 		close(written)
 		return
 	}
-	n.wg.Go(func() { n.storeDeparture(n.runCtx, p, written) })
+	go n.storeDeparture(n.runCtx, p, written)
 }
 
 // awaitDeparture waits until the last departure is in the store. It gives up once an
