gtroute: an instance on which a request meets silence is avoided meanwhile

Found by reading the change: since an attempt that can't be retried goes on in silence until its deadline, the router heard of a dead machine only then, and by the outcome "deadline", which ended the ejection that other requests had caused.

Cause: silence was told to the router only as the end of an attempt, and an outcome that says nothing about the instance counted as a success.

Evidence: the new spec, which needs the new call.

Mend: when an attempt goes on in silence, the instance is ejected as after a failure; a deadline or a cancellation neither ejects an instance nor ends its ejection.

--- a/core/request/gtroute/load.go
+++ b/core/request/gtroute/load.go
@@ -125,9 +125,17 @@
 	rt.withPeer(instance, func(p *peer) { p.inflight++ })
 }
 
+// Silent records that nothing has been received on a request, counted by Begin, for the
+// keep-alive timeout. It ejects the instance for a time, as a failure does; the response
+// may still come.
+func (rt *Router) Silent(instance string) {
+	now := rt.Now()
+	rt.withPeer(instance, func(p *peer) { p.eject(gtkind.Unresponsive, now) })
+}
+
 // End records that a request, counted by Begin, has ended. It stores the load
 // reported with the response. A failure of the instance ejects it for a time; any
-// other outcome ends the ejection.
+// other outcome ends the ejection, unless it says nothing about the instance.
 func (rt *Router) End(instance, route string, k gtkind.Kind, load Load) {
 	now := rt.Now()
 	rt.withPeer(instance, func(p *peer) {
@@ -136,17 +144,29 @@
 			p.load, p.loadAt = load, now
 			p.setServiceTime(route, load.serviceTime, now)
 		}
-		if !isInstanceFailure(k) {
+		switch {
+		case isInstanceFailure(k):
+			p.eject(k, now)
+		case !saysNothing(k):
 			p.failures = 0
 			p.ejectedUntil = time.Time{}
-			return
 		}
-		p.failures++
-		p.unreachable = isUnreachable(k)
-		p.ejectedUntil = now.Add(min(minEjection<<min(p.failures-1, 10), ejectionLimit(k)))
 	})
 }
 
+// eject ejects the instance after a failure of the given kind.
+func (p *peer) eject(k gtkind.Kind, now time.Time) {
+	p.failures++
+	p.unreachable = isUnreachable(k)
+	p.ejectedUntil = now.Add(min(minEjection<<min(p.failures-1, 10), ejectionLimit(k)))
+}
+
+// saysNothing reports whether a kind says neither that an instance works nor that it
+// doesn't: the request ended while its response was awaited.
+func saysNothing(k gtkind.Kind) bool {
+	return k == gtkind.Deadline || k == gtkind.Canceled
+}
+
 // ejectionLimit returns the maximum ejection time after a failure of the kind.
 func ejectionLimit(k gtkind.Kind) time.Duration {
 	if k == gtkind.Down {
--- a/core/request/gtroute/unreachable_test.go
+++ b/core/request/gtroute/unreachable_test.go
@@ -93,3 +93,42 @@
 		rt.End("a", "r", gtkind.None, Load{})
 	}
 }
+
+// An instance on which a request has met silence is avoided while its response is awaited,
+// and also when that ends at its deadline: waiting longer than before must not keep a dead
+// machine in use.
+func TestSilentInstanceIsAvoided(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(1000, 0)
+	list := []gtmember.Record{
+		gtmember.NewRecord("a", "z", "", "").WithBackend("s", "1", 10).WithState(gtmember.Ready),
+		gtmember.NewRecord("b", "z", "", "").WithBackend("s", "1", 10).WithState(gtmember.Ready),
+	}
+	rt := &Router{
+		Now: func() time.Time { return now }, Rand: rand.New(rand.NewPCG(1, 9)).Float64, Zone: "z",
+		Instances: func(string) []gtmember.Record { return list },
+	}
+	cfg := config(g)
+	picks := func() int {
+		n := 0
+		for range 100 {
+			to, err := rt.Pick(cfg, NewQuery("s"))
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			if to.Instance() == "a" {
+				n++
+			}
+		}
+		return n
+	}
+	g.Expect(picks()).To(gomega.BeNumerically(">", 20))
+	rt.Begin("a")
+	rt.Silent("a")
+	g.Expect(picks()).To(gomega.BeZero(), "a response is awaited")
+	for _, k := range []gtkind.Kind{gtkind.Deadline, gtkind.Canceled} {
+		rt.End("a", "r", k, Load{})
+		g.Expect(picks()).To(gomega.BeZero(), k.String())
+		rt.Begin("a")
+	}
+	rt.End("a", "r", gtkind.None, NewLoad(0, 10))
+	g.Expect(picks()).To(gomega.BeNumerically(">", 20), "it has answered")
+}
--- a/io/request/gtedge/edge.go
+++ b/io/request/gtedge/edge.go
@@ -228,7 +228,8 @@
 			}
 			return gtcall.Response{}, err
 		}
-		resp, err := e.attempt(e.withGiveUp(ctx, c, count, reached+1), c, to)
+		attemptCtx := e.withGiveUp(ctx, to, func() bool { return e.mayGiveUp(c, count, reached+1) })
+		resp, err := e.attempt(attemptCtx, c, to)
 		k := gtkind.Of(err)
 		if err == nil && c.Idempotent() && resp.Status() == http.StatusServiceUnavailable {
 			k = gtkind.Shed
@@ -268,11 +269,24 @@
 	return failed.WithIdempotent(c.Idempotent()).WithRetry(c.IsRetry()).WithServersReached(reached, c.MaxBackends())
 }
 
-// withGiveUp returns the context of an attempt that is given up when nothing is received,
-// but only if another instance may take the request in its place.
-func (e *Edge) withGiveUp(ctx context.Context, c gtcall.Call, count, reached int) context.Context {
+// mayGiveUp reports whether the last of count attempts, on which nothing is received, may
+// be given up: another instance may take the request in its place.
+func (e *Edge) mayGiveUp(c gtcall.Call, count, reached int) bool {
+	return len(e.Instances(c.Service())) > count && e.Retry.MayGiveUp(e.failedAttempt(c, gtkind.Unresponsive, count, reached))
+}
+
+// never is the answer where an attempt may not be given up.
+func never() bool { return false }
+
+// withGiveUp returns the context of an attempt at an instance that is given up when
+// nothing is received, if mayGiveUp then agrees. If not, the instance is at least avoided.
+func (e *Edge) withGiveUp(ctx context.Context, to gtmember.Record, mayGiveUp func() bool) context.Context {
 	return gtpool.WithGiveUp(ctx, func() bool {
-		return len(e.Instances(c.Service())) > count && e.Retry.MayGiveUp(e.failedAttempt(c, gtkind.Unresponsive, count, reached))
+		if mayGiveUp() {
+			return true
+		}
+		e.Router.Silent(to.Instance())
+		return false
 	})
 }
 
@@ -336,11 +350,10 @@
 		_, err := e.Router.Pick(cfg, gtroute.NewQuery(c.Service()).WithKey(c.Key()))
 		return gtcall.Response{}, err
 	}
-	ctx = gtpool.WithGiveUp(ctx, func() bool { return false }) // no other node may run it meanwhile
 	released, unreachable := 0, 0
 	var lastErr error
 	for _, to := range ranked {
-		resp, err := e.attempt(ctx, c, to)
+		resp, err := e.attempt(e.withGiveUp(ctx, to, never), c, to)
 		row := gtkind.Of(err).Row()
 		if err == nil || row.Certainty() != gtkind.NotRun || !row.RetryElsewhere() || ctx.Err() != nil {
 			return resp, err
@@ -358,7 +371,7 @@
 		return gtcall.Response{}, gtkind.Wrap(lastErr, gtkind.OutcomeUnknown, "a node that may have run the request is unreachable")
 	}
 	if released == len(ranked) {
-		return e.attempt(ctx, c.WithKey(c.Key(), c.IsResend(), true), ranked[0])
+		return e.attempt(e.withGiveUp(ctx, ranked[0], never), c.WithKey(c.Key(), c.IsResend(), true), ranked[0])
 	}
 	return gtcall.Response{}, lastErr
 }
