node: name the requests that a stop waits for, and who ended a canceled one

gtinflight keeps the requests in flight, in shards, with origin, stage, instance, age and deadline; it replaces the two counters that a stop waited for. "drain timed out" is followed by up to 20 lines that name them, and each stop ends with "node: drained": how long it took and how many requests were answered, refused, failed and cut. Lines about requests that may have run say how much time was left, whether the process was paused meanwhile, and, if canceled, whether the sender, the deadline or this node's stop ended them. A request whose body can't be read is logged with its ID. Gauge: inflight{origin,stage}.

A request costs two more allocations: the entry and its context.

--- a/io/process/gtnode/admin.go
+++ b/io/process/gtnode/admin.go
@@ -14,6 +14,7 @@
 	"godwittide/core/request/gtcall"
 	"godwittide/core/request/gtkind"
 	"godwittide/io/connection/gtwire"
+	"godwittide/io/process/gtmetric"
 )
 
 // Status is the state of a node, as returned by GET /status of the admin address.
@@ -169,6 +170,7 @@
 	n.scope.Gauge("control_received_bytes").Update(float64(s.ControlBytesReceived))
 	n.scope.Gauge("keys").Update(float64(n.dedup.Len()))
 	n.scope.Gauge("crashes").Update(float64(n.crashes.Len()))
+	gtmetric.RecordInFlight(n.scope, n.requests.Counts())
 }
 
 // debugLogger returns a logger for the HTTP servers that marks its lines as
--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -32,6 +32,7 @@
 	"godwittide/core/process/gttimer"
 	"godwittide/core/request/gtadmission"
 	"godwittide/core/request/gtdedup"
+	"godwittide/core/request/gtinflight"
 	"godwittide/core/request/gtretry"
 	"godwittide/core/request/gtroute"
 	"godwittide/core/request/gtsplit"
@@ -105,6 +106,7 @@
 	scope       tally.Scope
 
 	requestLog *gtlog.RateLimitedLogger
+	requests   *gtinflight.Table
 
 	table       *gtmember.Table
 	holder      *gtdelta.Holder
@@ -266,6 +268,7 @@
 func (n *Node) buildRequestPath() {
 	cfg := n.Settings
 	now := n.timer.Time
+	n.requests = &gtinflight.Table{Now: now}
 	n.metrics = gtmetric.New()
 	n.scope = n.metrics.Scope()
 	n.gate = &gtadmission.Gate{Now: now, Slots: cfg.Backend.Slots, Fixed: cfg.Backend.FixedLimit, PausedSince: n.timer.PausedSince}
@@ -286,14 +289,14 @@
 		HistoryKnown: n.dedupHistoryKnown, OnCrash: n.announceCrash, CheckDown: n.probeDown, ReadyAt: n.backend.readyTime, Trace: n.tracer.Start,
 		Dialect: n.Dialect, OnResult: n.logBackendCall,
 	}
-	n.hopHandler = &gthop.Handler{LocalBackend: n.localBackend, Timer: n.timer, MaxBodyBytes: cfg.Limit.MaxBodyBytes, OnPanic: n.recordPanic, PausedSince: n.timer.PausedSince}
+	n.hopHandler = &gthop.Handler{LocalBackend: n.localBackend, Timer: n.timer, MaxBodyBytes: cfg.Limit.MaxBodyBytes, OnPanic: n.recordPanic, PausedSince: n.timer.PausedSince, Requests: n.requests}
 	client := &gthop.Client{Now: now, Pool: n.hopPool, Dialect: n.Dialect, MaxBufferBytes: cfg.Limit.MaxBufferBytes, Trace: n.tracer.Start}
 	n.edge = &gtedge.Edge{
 		Now: now, Self: cfg.Node.Instance, IDPrefix: cfg.Node.Instance + "-" + strconv.FormatInt(n.startTime.UnixMilli(), 36) + "-",
 		MaxBodyBytes: cfg.Limit.MaxBodyBytes, MaxHops: cfg.Limit.MaxHops, Holder: n.holder, Router: n.router, Instances: n.table.ServiceMembers,
 		Retry: n.retry, Crashes: n.crashes, OnCrash: n.mergeCrash, HistoryKnown: n.dedupHistoryKnown, LocalBackend: n.localBackend, Client: client,
 		MayBegin: n.drain.MayBegin, OnOutcome: n.recordOutcome, OnResponse: n.recordResponse, Trace: n.tracer.Start, OnPanic: n.recordPanic,
-		Dialect: n.Dialect, Split: split, OnRetry: n.logRetry,
+		Dialect: n.Dialect, Split: split, OnRetry: n.logRetry, Requests: n.requests,
 	}
 }
 
--- a/io/process/gtnode/requestlog.go
+++ b/io/process/gtnode/requestlog.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"godwittide/core/connection/gtliveness"
 	"godwittide/core/process/gtshard"
 	"godwittide/core/request/gtcall"
 	"godwittide/core/request/gtkind"
@@ -38,6 +39,40 @@
 	return e
 }
 
+const (
+	endedByStop     = "stop"     // this node closed the connection at the end of its stop
+	endedByDeadline = "deadline" // the request's deadline passed
+	endedBySender   = "sender"   // the caller or peer closed the connection
+)
+
+// withCircumstances adds to a line about a request that may have run but has no response
+// what tells the causes apart: the remaining time, whether this process was paused or got
+// no processor time while it waited, and who ended a canceled request.
+func (n *Node) withCircumstances(e *zerolog.Event, c gtcall.Call, err error, d time.Duration) *zerolog.Event {
+	k := gtkind.Of(err)
+	if err == nil || k.Row().Certainty() != gtkind.Unknown || c.ID() == "" {
+		return e
+	}
+	now := n.timer.Time()
+	e = e.Int64("left", c.Deadline().Sub(now).Milliseconds()).Bool("paused", n.timer.PausedSince(now.Add(-d)))
+	if k == gtkind.Canceled {
+		e = e.Str("ended", n.canceledBy(c, now))
+	}
+	return e
+}
+
+// canceledBy returns who ended a call that was canceled.
+func (n *Node) canceledBy(c gtcall.Call, now time.Time) string {
+	switch {
+	case !now.Before(c.Deadline()):
+		return endedByDeadline
+	case n.servers.closed.Load():
+		return endedByStop
+	default:
+		return endedBySender
+	}
+}
+
 // logResponse logs a response to a caller, with the active version of the
 // configuration and the time since its activation.
 func (n *Node) logResponse(c gtcall.Call, err error, d time.Duration) {
@@ -46,7 +81,7 @@
 		return
 	}
 	current := n.holder.Current()
-	e.Int64("ms", d.Milliseconds()).Int64("version", current.Snapshot().Version()).
+	n.withCircumstances(e, c, err, d).Int64("ms", d.Milliseconds()).Int64("version", current.Snapshot().Version()).
 		Int64("age", n.timer.Time().Sub(current.ActivatedAt()).Milliseconds()).Msg("request: answered")
 }
 
@@ -56,8 +91,9 @@
 	if e == nil {
 		return
 	}
-	e.Str("instance", instance).Int("attempt", count).
-		Int64("left", c.Deadline().Sub(n.timer.Time()).Milliseconds()).Msg("request: tried again")
+	now := n.timer.Time()
+	e.Str("instance", instance).Int("attempt", count).Int64("left", c.Deadline().Sub(now).Milliseconds()).
+		Bool("paused", n.timer.PausedSince(now.Add(-gtliveness.KeepAliveTimeout))).Msg("request: tried again")
 }
 
 // logBackendCall logs the outcome of a call at the local backend server, with the
@@ -68,7 +104,7 @@
 		return
 	}
 	load := n.gate.Load(c.Route())
-	e.Int("status", status).Int64("ms", d.Milliseconds()).Int("busy", load.Busy()).Int("limit", load.Limit()).
+	n.withCircumstances(e, c, err, d).Int("status", status).Int64("ms", d.Milliseconds()).Int("busy", load.Busy()).Int("limit", load.Limit()).
 		Int64("pace", load.ServiceTime().Milliseconds()).Str("backend", n.table.Self().Version()).
 		Stringer("state", n.backend.currentState()).Msg("request: came to its server")
 }
--- a/io/process/gtnode/serve.go
+++ b/io/process/gtnode/serve.go
@@ -59,6 +59,8 @@
 	edge, hop, admin    *http.Server
 	listeners           listeners
 	edgeConns, hopConns idleConns
+	// closed means that all connections have been closed, also those in use.
+	closed atomic.Bool
 }
 
 // listen opens the listeners at the addresses of the settings. An address with
@@ -195,8 +197,9 @@
 // drain has timed out. It first waits until all connections are accepted that callers
 // have opened, and then closes the idle ones that hold no unread bytes, so that no
 // request that has arrived is lost. Requests that come meanwhile have the time that is
-// left of the drain.
-func (s *servers) shutdown(ctx context.Context, timer *gttimer.Service, left time.Duration) {
+// left of the drain. It reports whether no connection is left in use; close closes those
+// that are.
+func (s *servers) shutdown(ctx context.Context, timer *gttimer.Service, left time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, max(left, minShutdownTime))
 	defer cancel()
 	for gtsocket.HasPending(s.listeners.edge) || gtsocket.HasPending(s.listeners.hopSocket) {
@@ -210,16 +213,16 @@
 			break
 		}
 	}
+	ok := true
 	for _, server := range []*http.Server{s.edge, s.hop, s.admin} {
-		if server.Shutdown(ctx) != nil {
-			_ = server.Close()
-		}
+		ok = server.Shutdown(ctx) == nil && ok
 	}
-	_ = s.listeners.peer.Close()
+	return ok
 }
 
 // close closes the servers and their connections at once.
 func (s *servers) close() {
+	s.closed.Store(true)
 	for _, server := range []*http.Server{s.edge, s.hop, s.admin} {
 		_ = server.Close()
 	}
--- a/io/process/gtnode/shutdown.go
+++ b/io/process/gtnode/shutdown.go
@@ -4,7 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"godwittide/core/process/gtmember"
+	"godwittide/core/request/gtinflight"
 )
 
 const (
@@ -14,6 +17,9 @@
 	// goneAnnounceTime is how long the overlay gets to send its last batch, with the
 	// announcement that the node is gone.
 	goneAnnounceTime = 100 * time.Millisecond
+	// maxInFlightLines is the maximum number of log lines that name requests that
+	// outlast the drain.
+	maxInFlightLines = 20
 )
 
 // shutDown drains the node: after LingerPeriod it announces that it is leaving. It
@@ -22,6 +28,7 @@
 // requests whose deadline lies beyond that are refused from LingerPeriod on.
 func (n *Node) shutDown(ctx context.Context) {
 	n.Log.Info().Msg("node: draining")
+	begun, before := n.timer.Time(), n.requests.Outcomes()
 	n.drain.Begin()
 	drainTimeout := n.timer.After(n.drain.Left())
 	defer drainTimeout.Stop()
@@ -32,19 +39,52 @@
 	refuseUntil := n.timer.Time().Add(time.Duration(n.Settings.Limit.RefusePeriod))
 	ticker := n.timer.Every(inFlightCheckPeriod, 0)
 	defer ticker.Stop()
-	for n.edge.InFlight()+n.hopHandler.InFlight() > 0 || n.timer.Time().Before(refuseUntil) {
+	for n.requests.Len() > 0 || n.timer.Time().Before(refuseUntil) {
 		select {
 		case <-ticker.C():
 			continue
 		case <-drainTimeout.C():
-			n.Log.Warn().Int64("left", n.edge.InFlight()+n.hopHandler.InFlight()).Msg("node: drain timed out")
+			n.logDrainTimeout()
 		}
 		break
 	}
-	n.servers.shutdown(ctx, n.timer, n.drain.Left())
+	left := 0
+	if !n.servers.shutdown(ctx, n.timer, n.drain.Left()) {
+		left = n.requests.Len()
+	}
+	n.logDrained(begun, n.requests.Outcomes().Since(before), left)
+	n.servers.close()
 	n.setState(gtmember.Gone)
 	_ = n.timer.Sleep(ctx, goneAnnounceTime)
 	if err := n.tracer.Close(ctx); err != nil {
 		n.Log.Debug().Err(err).Msg("node: sending the last spans failed")
 	}
 }
+
+// logDrainTimeout logs the requests that are still in flight when the drain has timed out,
+// the oldest first.
+func (n *Node) logDrainTimeout() {
+	n.Log.Warn().Int("left", n.requests.Len()).Msg("node: drain timed out")
+	now := n.timer.Time()
+	for _, r := range n.requests.Oldest(maxInFlightLines) {
+		inFlightFields(n.Log.Warn(), r, now).Msg("request: in flight as the drain timed out")
+	}
+}
+
+// inFlightFields adds what is known about a request in flight to a log line.
+func inFlightFields(e *zerolog.Event, r gtinflight.Request, now time.Time) *zerolog.Event {
+	e = e.Str("request", r.ID()).Str("route", r.Route()).Stringer("origin", r.Origin()).Str("from", r.From()).
+		Stringer("stage", r.Stage()).Str("instance", r.Instance()).Int64("age", now.Sub(r.Began()).Milliseconds())
+	if !r.Deadline().IsZero() {
+		e = e.Int64("left", r.Deadline().Sub(now).Milliseconds())
+	}
+	return e
+}
+
+// logDrained logs how long the drain took and what the requests that ended in it ended
+// with. The connections of those that are left are about to be closed.
+func (n *Node) logDrained(begun time.Time, ended gtinflight.Outcomes, left int) {
+	cut := ended.Of(gtinflight.Cut) + int64(left)
+	n.Log.Info().Int64("ms", n.timer.Time().Sub(begun).Milliseconds()).Int64("answered", ended.Of(gtinflight.Answered)).
+		Int64("refused", ended.Of(gtinflight.Refused)).Int64("failed", ended.Of(gtinflight.Failed)).Int64("cut", cut).Msg("node: drained")
+}
--- a/io/request/gtedge/edge.go
+++ b/io/request/gtedge/edge.go
@@ -22,6 +22,7 @@
 	"godwittide/core/process/gtmember"
 	"godwittide/core/request/gtcall"
 	"godwittide/core/request/gtdedup"
+	"godwittide/core/request/gtinflight"
 	"godwittide/core/request/gtkind"
 	"godwittide/core/request/gtretry"
 	"godwittide/core/request/gtroute"
@@ -76,6 +77,8 @@
 	LocalBackend *gthop.LocalBackend
 	// Client sends calls to peers.
 	Client *gthop.Client
+	// Requests holds the requests in flight; nil means that they aren't recorded.
+	Requests *gtinflight.Table
 	// MayBegin reports whether a request with the given deadline may begin: the node
 	// may be shutting down. Nil means that all may.
 	MayBegin func(deadline time.Time) bool
@@ -83,8 +86,8 @@
 	// about the version that ran it.
 	OnOutcome func(service, route, version string, o gtcanary.Outcome)
 	// OnResponse is called before each response is written, with the call, its error
-	// or nil, and the time that it took. The call is empty if the request was refused
-	// before its call was built.
+	// or nil, and the time that it took. The call is empty, or has only an ID and a
+	// route, if the request was refused before its call was built.
 	OnResponse func(c gtcall.Call, err error, d time.Duration)
 	// OnRetry is called for each failed attempt that is retried, with its instance
 	// and error, and the number of attempts so far.
@@ -99,28 +102,34 @@
 	// request.
 	OnPanic func(v any)
 
-	seq      atomic.Uint64
-	inflight atomic.Int64
+	seq atomic.Uint64
 }
 
-// InFlight returns the number of requests in progress.
-func (e *Edge) InFlight() int64 { return e.inflight.Load() }
-
 // ServeHTTP serves a request from a caller.
 func (e *Edge) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	e.inflight.Add(1)
-	defer e.inflight.Add(-1)
+	entry := e.Requests.Begin(origin(r), r.RemoteAddr)
+	defer entry.End()
 	defer gthop.Recover(w, e.OnPanic, e.Dialect.WriteError)
 	start := e.Now()
-	ctx, end := e.Trace(r.Context(), "edge", r.Header)
+	ctx, end := e.Trace(gtinflight.NewContext(r.Context(), entry), "edge", r.Header)
 	c, resp, err := e.serve(ctx, r)
 	end(err)
 	e.OnResponse(c, err, e.Now().Sub(start))
+	entry.MoveTo(gtinflight.Writing, "")
 	if err != nil {
 		e.Dialect.WriteError(w, err)
-		return
+	} else {
+		gthop.WriteResponse(w, resp)
+	}
+	entry.SetOutcome(gtinflight.OutcomeOf(err))
+}
+
+// origin returns who sent a request, as far as it says so.
+func origin(r *http.Request) gtinflight.Origin {
+	if r.Header.Get(gthop.HeaderHops) != "" {
+		return gtinflight.Backend
 	}
-	gthop.WriteResponse(w, resp)
+	return gtinflight.Caller
 }
 
 func (e *Edge) serve(ctx context.Context, r *http.Request) (gtcall.Call, gtcall.Response, error) {
@@ -129,10 +138,13 @@
 		return gtcall.Call{}, gtcall.Response{}, gtkind.New(gtkind.NoConfig, "node has no configuration yet")
 	}
 	cfg := current.Config()
-	c, err := e.newCall(cfg, r)
+	entry := gtinflight.FromContext(ctx)
+	c, err := e.newCall(cfg, r, entry)
 	if err != nil {
 		return c, gtcall.Response{}, err
 	}
+	entry.Identify(c.ID(), c.Route(), c.Deadline())
+	entry.MoveTo(gtinflight.Routing, "")
 	if e.MayBegin != nil && !e.MayBegin(c.Deadline()) {
 		return c, gtcall.Response{}, gtkind.New(gtkind.Leaving, "this node shuts down before the deadline of the request")
 	}
@@ -161,8 +173,8 @@
 }
 
 // newCall returns the call for a request of a caller. If it fails, the returned
-// call is empty.
-func (e *Edge) newCall(cfg *gtconfig.Config, r *http.Request) (gtcall.Call, error) {
+// call is empty, or has the ID and route of a request whose body can't be read.
+func (e *Edge) newCall(cfg *gtconfig.Config, r *http.Request, entry *gtinflight.Entry) (gtcall.Call, error) {
 	start := e.Now()
 	hops, _ := strconv.Atoi(r.Header.Get(gthop.HeaderHops))
 	if hops < 0 || hops >= e.MaxHops {
@@ -176,13 +188,14 @@
 	if len(key) > maxKeyBytes {
 		return gtcall.Call{}, gtkind.New(gtkind.BadRequest, "idempotency key is longer than %d bytes", maxKeyBytes)
 	}
+	id := e.Dialect.RequestIDOr(r, e.newID)
+	entry.Identify(id, route.Name(), start.Add(e.Dialect.ShortenTimeout(r, gtconfig.MaxTimeout)))
 	body, err := gthop.ReadBody(r, e.MaxBodyBytes)
 	if err != nil {
-		return gtcall.Call{}, err
+		return gtcall.New(id, r.Method, r.URL.RequestURI()).WithRoute("", route.Name(), route.Class()), err
 	}
 	header := gthop.ForwardableHeader(r.Header)
 	header.Set("Host", r.Host)
-	id := e.Dialect.RequestIDOr(r, e.newID)
 	service := route.Service(e.Split.Draw(route.Name()))
 	return gtcall.New(id, r.Method, r.URL.RequestURI()).
 		WithHeader(header).
--- a/io/request/gtedge/edge_test.go
+++ b/io/request/gtedge/edge_test.go
@@ -1,6 +1,8 @@
 package gtedge
 
 import (
+	"context"
+	"net/http"
 	"net/http/httptest"
 	"sync"
 	"testing"
@@ -11,6 +13,7 @@
 	"godwittide/core/process/gtmember"
 	"godwittide/core/request/gtcall"
 	"godwittide/core/request/gtdedup"
+	"godwittide/core/request/gtinflight"
 	"godwittide/core/request/gtkind"
 	"godwittide/core/request/gtretry"
 	"godwittide/core/request/gtroute"
@@ -55,3 +58,24 @@
 	g.Expect(seen[gtkind.NoConfig]).To(gomega.BeNumerically(">", 0), "%v", seen)
 	g.Expect(seen[gtkind.NoBackend]).To(gomega.BeNumerically(">", 0), "%v", seen)
 }
+
+// A request whose handler panics must not stay in the count that a stop waits for.
+func TestPanicLeavesNoRequestInFlight(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, value := range []any{"fault", http.ErrAbortHandler} {
+		requests := &gtinflight.Table{Now: time.Now}
+		e := &Edge{
+			Now: time.Now, Requests: requests, OnPanic: func(any) {},
+			Trace: func(context.Context, string, http.Header) (context.Context, func(error)) {
+				g.Expect(requests.Len()).To(gomega.Equal(1))
+				panic(value)
+			},
+		}
+		func() {
+			defer func() { _ = recover() }()
+			e.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest("GET", "/", nil))
+		}()
+		g.Expect(requests.Len()).To(gomega.BeZero())
+		g.Expect(requests.Outcomes().Of(gtinflight.Cut)).To(gomega.Equal(int64(1)))
+	}
+}
--- a/io/request/gthop/client.go
+++ b/io/request/gthop/client.go
@@ -9,6 +9,7 @@
 
 	"godwittide/core/process/gtmember"
 	"godwittide/core/request/gtcall"
+	"godwittide/core/request/gtinflight"
 	"godwittide/core/request/gtkind"
 	"godwittide/io/connection/gtpool"
 )
@@ -40,6 +41,7 @@
 	if err != nil {
 		return gtcall.Response{}, err
 	}
+	gtinflight.FromContext(ctx).MoveTo(gtinflight.Working, to.Instance())
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline())
 	ctx, end := cl.Trace(ctx, "hop", req.Header)
 	cl.Dialect.encodeCall(req, c, to.Instance(), cl.Now())
--- a/io/request/gthop/handler.go
+++ b/io/request/gthop/handler.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"godwittide/core/connection/gtliveness"
@@ -14,6 +13,7 @@
 	"godwittide/core/process/gttimer"
 	"godwittide/core/request/gtcall"
 	"godwittide/core/request/gtdedup"
+	"godwittide/core/request/gtinflight"
 	"godwittide/core/request/gtkind"
 	"godwittide/io/connection/gtpool"
 )
@@ -32,22 +32,20 @@
 	// PausedSince reports whether this process was paused at any time after since;
 	// nil means that no pauses are detected.
 	PausedSince func(since time.Time) bool
+	// Requests holds the requests in flight; nil means that they aren't recorded.
+	Requests *gtinflight.Table
 
-	inflight   atomic.Int64
 	keepAlives gtshard.Map[*keepAlive]
 }
 
-// InFlight returns the number of calls in progress.
-func (h *Handler) InFlight() int64 { return h.inflight.Load() }
-
 // ServeHTTP serves a call or a ping.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == gtpool.PingPath {
 		w.Header().Set("Content-Length", "0")
 		return
 	}
-	h.inflight.Add(1)
-	defer h.inflight.Add(-1)
+	entry := h.Requests.Begin(gtinflight.Peer, r.RemoteAddr)
+	defer entry.End()
 	w.Header()["Date"] = nil // that of the backend server is forwarded
 	meta, err := h.LocalBackend.Dialect.decodeMeta(r)
 	fail := func(w http.ResponseWriter, err error) { h.writeError(w, meta, err) }
@@ -56,13 +54,16 @@
 		fail(w, err)
 		return
 	}
-	resp, err := h.serve(w, r, meta)
+	entry.Identify(meta[metaID], meta[metaRoute], time.Time{})
+	resp, err := h.serve(gtinflight.NewContext(r.Context(), entry), w, r, meta)
+	entry.MoveTo(gtinflight.Writing, "")
 	if err != nil {
 		fail(w, err)
-		return
+	} else {
+		w.Header().Set(HeaderResponse, encodeResponseMeta(h.responseMeta(meta, gtkind.None)))
+		WriteResponse(w, resp)
 	}
-	w.Header().Set(HeaderResponse, encodeResponseMeta(h.responseMeta(meta, gtkind.None)))
-	WriteResponse(w, resp)
+	entry.SetOutcome(gtinflight.OutcomeOf(err))
 }
 
 func (h *Handler) responseMeta(meta [metaCount]string, k gtkind.Kind) responseMeta {
@@ -96,7 +97,7 @@
 	fail(w, gtkind.New(gtkind.Internal, "request handler of the node panicked"))
 }
 
-func (h *Handler) serve(w http.ResponseWriter, r *http.Request, meta [metaCount]string) (gtcall.Response, error) {
+func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, meta [metaCount]string) (gtcall.Response, error) {
 	if instance, self := meta[metaInstance], h.LocalBackend.Self().Instance(); instance != self {
 		return gtcall.Response{}, gtkind.New(gtkind.Refused, "this is instance %s, the request is addressed to %.64q", self, instance)
 	}
@@ -109,7 +110,10 @@
 	if err != nil {
 		return gtcall.Response{}, err
 	}
-	if h.callerDisconnectedDuringPause(r.Context(), now) {
+	entry := gtinflight.FromContext(ctx)
+	entry.Identify(c.ID(), c.Route(), c.Deadline())
+	entry.MoveTo(gtinflight.Routing, "")
+	if h.callerDisconnectedDuringPause(ctx, now) {
 		return gtcall.Response{}, gtkind.New(gtkind.Canceled, "caller disconnected during a process pause of this node")
 	}
 	if c.Crashes() > 0 {
@@ -118,7 +122,7 @@
 	c.Header().Set("Host", r.Host)
 	stop := h.startKeepAlive(c.ID(), w)
 	defer stop()
-	return h.LocalBackend.Run(r.Context(), c)
+	return h.LocalBackend.Run(ctx, c)
 }
 
 const (
--- a/io/request/gthop/localbackend.go
+++ b/io/request/gthop/localbackend.go
@@ -9,6 +9,7 @@
 	"godwittide/core/request/gtadmission"
 	"godwittide/core/request/gtcall"
 	"godwittide/core/request/gtdedup"
+	"godwittide/core/request/gtinflight"
 	"godwittide/core/request/gtkind"
 	"godwittide/core/version/gtcanary"
 	"godwittide/io/connection/gtpool"
@@ -110,6 +111,7 @@
 		case gtdedup.Run:
 			return b.runAndSettle(ctx, c, entry)
 		case gtdedup.Wait:
+			gtinflight.FromContext(ctx).MoveTo(gtinflight.Queued, b.Self().Instance())
 			select {
 			case <-entry.Settled():
 			case <-ctx.Done():
@@ -177,6 +179,7 @@
 	if err != nil {
 		return reject(err)
 	}
+	gtinflight.FromContext(ctx).MoveTo(gtinflight.Queued, b.Self().Instance())
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline())
 	select {
 	case <-ticket.Granted():
@@ -204,6 +207,7 @@
 		cancel()
 		return gtcall.Response{}, err
 	}
+	gtinflight.FromContext(ctx).MoveTo(gtinflight.Working, b.Self().Instance())
 	// The span is written to the header of this request, as other attempts may
 	// read the header of the call concurrently.
 	ctx, end := b.Trace(ctx, "backend", req.Header)
