--- a/io/request/gttimeline/timeline.go
+++ b/io/request/gttimeline/timeline.go
@@ -42,7 +42,9 @@
 	msgRan      = "request: came to its server"
 	msgRetried  = "request: tried again"
 	msgResponse = "request: answered"
+	msgInFlight = "request: in flight as the drain timed out"
 	msgOmitted  = "request: more lines of this kind were left out"
+	msgDrained  = "node: drained"
 )
 
 // relatedPrefixes are the prefixes of messages that may explain why a request
@@ -65,7 +67,16 @@
 	Instance    string  `json:"instance"`
 	Attempt     int     `json:"attempt"`
 	MS          int64   `json:"ms"`
-	Remaining   int64   `json:"left"`
+	Remaining   *int64  `json:"left"`
+	Paused      bool    `json:"paused"`
+	Ended       string  `json:"ended"`
+	Origin      string  `json:"origin"`
+	From        string  `json:"from"`
+	Stage       string  `json:"stage"`
+	Answered    int     `json:"answered"`
+	Refused     int     `json:"refused"`
+	Failed      int     `json:"failed"`
+	Cut         int     `json:"cut"`
 	Version     int64   `json:"version"`
 	Age         int64   `json:"age"`
 	Status      int     `json:"status"`
@@ -104,9 +115,13 @@
 		return fmt.Sprintf("%s: %s after %d ms; the admission gate had %d requests at a concurrency limit of %d, the route's service time was %d ms; backend server version %s, %s%s",
 			e.node, outcome(l), l.MS, l.Busy, l.Limit, l.ServiceTime, l.Backend, l.State, detail(l))
 	case msgRetried:
-		return fmt.Sprintf("%s: attempt %d on %s failed (%s, %s) with %d ms remaining, retried%s", e.node, l.Attempt, l.Instance, errorKind(l), l.Certainty, l.Remaining, detail(l))
+		return fmt.Sprintf("%s: attempt %d on %s failed (%s, %s)%s, retried%s", e.node, l.Attempt, l.Instance, errorKind(l), l.Certainty, remaining(l, " with "), detail(l))
 	case msgResponse:
 		return fmt.Sprintf("%s: responded with %s after %d ms; configuration version %d, active for %d ms%s", e.node, outcome(l), l.MS, l.Version, l.Age, detail(l))
+	case msgInFlight:
+		return fmt.Sprintf("%s: still in flight as the drain timed out: %s, received from %s %s %d ms before%s", e.node, stage(l), l.Origin, l.From, l.Age, remaining(l, ", "))
+	case msgDrained:
+		return fmt.Sprintf("%s: stopped serving after %d ms; meanwhile %d requests were answered, %d refused, %d failed, %d cut off", e.node, l.MS, l.Answered, l.Refused, l.Failed, l.Cut)
 	case "move: new state", "move: new version halted":
 		return fmt.Sprintf("%s: %s: move %s is %s, share of traffic %.2f: %s", e.node, l.Message, l.Move, l.Phase, l.Share, l.Reason)
 	case msgOmitted:
@@ -130,11 +145,54 @@
 	return "the response of the backend server"
 }
 
+// stages describes the stages of a request in flight.
+var stages = map[string]string{
+	"reading": "its body had not been received",
+	"routing": "its destination was being chosen",
+	"queued":  "it waited for the admission gate",
+	"working": "it was at work",
+	"writing": "its response was being written",
+}
+
+func stage(l logLine) string {
+	if l.Instance == "" {
+		return cmp.Or(stages[l.Stage], l.Stage)
+	}
+	return cmp.Or(stages[l.Stage], l.Stage) + " on " + l.Instance
+}
+
+// remaining returns the remaining time until the deadline after prefix, or "" if the
+// line doesn't tell it.
+func remaining(l logLine, prefix string) string {
+	if l.Remaining == nil {
+		return ""
+	}
+	return fmt.Sprintf("%s%d ms remaining", prefix, *l.Remaining)
+}
+
+// enders describes who ended a canceled request.
+var enders = map[string]string{
+	"sender":   "the caller or peer closed the connection",
+	"deadline": "its deadline passed",
+	"stop":     "the node closed the connection at the end of its stop",
+}
+
+// detail returns why a request failed, and the circumstances that the line tells.
 func detail(l logLine) string {
 	if l.Why == "" {
 		return ""
 	}
-	return ": " + l.Why
+	text := ": " + l.Why
+	if l.Ended != "" {
+		text += "; ended as " + cmp.Or(enders[l.Ended], l.Ended)
+	}
+	if l.Message != msgRetried {
+		text += remaining(l, "; ")
+	}
+	if l.Paused {
+		text += "; the node's process was paused meanwhile"
+	}
+	return text
 }
 
 // Reader collects the lines about a request from logs. Its exported field is set
@@ -233,7 +291,7 @@
 
 // messageRank returns the order of an event among those with the same time.
 func messageRank(e Event) int {
-	return slices.Index([]string{msgRan, msgRetried, msgResponse}, e.line.Message)
+	return slices.Index([]string{msgInFlight, msgRan, msgRetried, msgResponse}, e.line.Message)
 }
 
 // isRelated reports whether an event is about a move, or about a node or instance
--- a/io/request/gttimeline/timeline_test.go
+++ b/io/request/gttimeline/timeline_test.go
@@ -59,6 +59,34 @@
 	g.Expect(timeline.Missing()).To(gomega.ConsistOf(gomega.And(gomega.ContainSubstring("2 nodes"), gomega.ContainSubstring("30 lines"))))
 }
 
+// The lines of a stop that cuts a request off, on the node that took it and on the one that
+// ran it, must tell where it was and who ended it.
+func TestRequestCutByAStopIsExplained(t *testing.T) {
+	g := gomega.NewWithT(t)
+	logs := map[string]string{
+		"a-1": `{"node":"a-1","left":1,"time":"2026-12-04T10:00:05.200Z","message":"node: drain timed out"}
+{"node":"a-1","request":"7","route":"hold","origin":"caller","from":"10.0.0.9:1","stage":"working","instance":"b-1","age":5400,"left":4600,"time":"2026-12-04T10:00:05.200Z","message":"request: in flight as the drain timed out"}
+{"node":"a-1","request":"8","route":"hold","origin":"caller","from":"10.0.0.9:2","stage":"reading","instance":"","age":900,"time":"2026-12-04T10:00:05.200Z","message":"request: in flight as the drain timed out"}
+{"node":"a-1","kind":"answer canceled","request":"7","certainty":"unknown","why":"wait for the response of 10.0.0.2:1","left":4200,"paused":false,"ended":"stop","ms":5800,"version":3,"age":100,"time":"2026-12-04T10:00:05.600Z","message":"request: answered"}
+{"node":"a-1","ms":5600,"answered":40,"refused":3,"failed":0,"cut":1,"time":"2026-12-04T10:00:05.600Z","message":"node: drained"}
+`,
+		"b-1": `{"node":"b-1","kind":"run canceled","request":"7","certainty":"unknown","why":"wait for the response of 10.0.0.2:2","left":4190,"paused":true,"ended":"sender","status":0,"ms":5700,"time":"2026-12-04T10:00:05.605Z","message":"request: came to its server"}
+`,
+	}
+	timeline := readLogs(g, "7", logs)
+	g.Expect(texts(timeline.Events())).To(gomega.HaveExactElements(
+		"a-1: still in flight as the drain timed out: it was at work on b-1, received from caller 10.0.0.9:1 5400 ms before, 4600 ms remaining",
+		gomega.HaveSuffix("ended as the node closed the connection at the end of its stop; 4200 ms remaining"),
+		gomega.HaveSuffix("ended as the caller or peer closed the connection; 4190 ms remaining; the node's process was paused meanwhile"),
+	))
+	g.Expect(texts(timeline.Related())).To(gomega.ContainElement("a-1: stopped serving after 5600 ms; meanwhile 40 requests were answered, 3 refused, 0 failed, 1 cut off"))
+	g.Expect(timeline.Missing()).To(gomega.BeEmpty())
+	timeline = readLogs(g, "8", logs)
+	g.Expect(texts(timeline.Events())).To(gomega.Equal([]string{
+		"a-1: still in flight as the drain timed out: its body had not been received, received from caller 10.0.0.9:2 900 ms before",
+	}))
+}
+
 // The failures that docs/OPERATIONS.md documents with log lines must be explained
 // from these lines.
 func TestDocumentedFailuresAreExplained(t *testing.T) {
