gtnode: log and count what drives a move and what is left out as evidence

Alarms with their counts and their judge, halts heard, drivers and their changes, the time of a write, the age of the reports, and the outcomes that are no evidence, by reason.

--- a/core/version/gtcanary/judge.go
+++ b/core/version/gtcanary/judge.go
@@ -50,8 +50,29 @@
 	rate     float64
 	baseline float64
 	requests uint64
+	counts   AlarmCounts
 }
 
+// AlarmCounts are the new version's outcomes on the route of an alarm.
+type AlarmCounts struct {
+	total, failed, timed, slow uint64
+}
+
+// Total returns the number of requests.
+func (c AlarmCounts) Total() uint64 { return c.total }
+
+// Failed returns the number of requests that failed.
+func (c AlarmCounts) Failed() uint64 { return c.failed }
+
+// Timed returns the number of requests whose latency was counted.
+func (c AlarmCounts) Timed() uint64 { return c.timed }
+
+// Slow returns the number of timed requests that were slow.
+func (c AlarmCounts) Slow() uint64 { return c.slow }
+
+// Counts returns the new version's outcomes on the route of the alarm.
+func (a Alarm) Counts() AlarmCounts { return a.counts }
+
 // String returns the metric, the route and the rates of both versions as text.
 func (a Alarm) String() string {
 	route := a.route
@@ -192,7 +213,7 @@
 	rs.newFailed += c.failed
 	baseline := math.Max(minFailureBaseline, upperRate(rs.baselineFailed, rs.baselineTotal))
 	if rs.failures.add(c.failed, c.total, baseline) > j.Threshold {
-		j.raise(route, "failures", float64(rs.newFailed)/float64(rs.newTotal), ratio(rs.baselineFailed, rs.baselineTotal), rs.newTotal)
+		j.raise(Alarm{route: route, metric: "failures", rate: ratio(float64(rs.newFailed), float64(rs.newTotal)), baseline: ratio(rs.baselineFailed, rs.baselineTotal), requests: rs.newTotal, counts: rs.counts()})
 	}
 	j.testSlowness(route, rs, c)
 }
@@ -221,7 +242,7 @@
 	}
 	baseline := math.Max(minSlowBaseline, upperRate(baselineSlow, baselineTimed))
 	if slowWeight*rs.slowness.add(slow, total, baseline) > j.Threshold {
-		j.raise(route, "slow answers", float64(rs.newSlow)/float64(rs.newTimed), ratio(baselineSlow, baselineTimed), rs.newTimed)
+		j.raise(Alarm{route: route, metric: "slow answers", rate: ratio(float64(rs.newSlow), float64(rs.newTimed)), baseline: ratio(baselineSlow, baselineTimed), requests: rs.newTimed, counts: rs.counts()})
 	}
 }
 
@@ -287,10 +308,15 @@
 	return peak
 }
 
+// counts returns the new version's outcomes.
+func (rs *routeStats) counts() AlarmCounts {
+	return AlarmCounts{total: rs.newTotal, failed: rs.newFailed, timed: rs.newTimed, slow: rs.newSlow}
+}
+
 // raise records an alarm unless there is one already.
-func (j *Judge) raise(route, metric string, rate, baseline float64, requests uint64) {
+func (j *Judge) raise(a Alarm) {
 	if j.alarm == nil {
-		j.alarm = &Alarm{route: route, metric: metric, rate: rate, baseline: baseline, requests: requests}
+		j.alarm = &a
 	}
 }
 
--- a/io/process/gtnode/drive.go
+++ b/io/process/gtnode/drive.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"sync"
 	"time"
 
 	"godwittide/core/process/gtmember"
@@ -20,118 +19,15 @@
 	// standbyDelay is the additional delay per rank before a driver writes a due
 	// change, so that normally only the first-ranked one writes it.
 	standbyDelay = 2 * time.Second
-	// reportRetention is how long the last report of an instance is kept.
-	reportRetention = 10 * time.Minute
-	// maxReports bounds the number of instances whose last report is kept.
-	maxReports = 16 << 10
 )
 
-// judges holds the judges of the active moves: pooled ones, fed by the reports of
-// all instances, for the moves that this node may drive, and local ones, fed by
-// the outcomes that this node observes itself.
-type judges struct {
-	now func() time.Time
-
-	mu     sync.Mutex
-	pooled map[string]*pooledJudge
-	local  map[string]*gtcanary.Judge
-	latest map[string]timedReport
-}
-
-// pooledJudge is the judge of one move that this node may drive. Its seq is the
-// sequence number of the move's state at the last evaluation, and changeDueSince
-// the time since which a change of the state is due, or zero.
-type pooledJudge struct {
-	judge          *gtcanary.Judge
-	seq            int64
-	changeDueSince time.Time
-}
-
-// timedReport is the last report of an instance and its time of arrival. A new
-// judge starts with the last reports of all instances.
-type timedReport struct {
-	report gtcanary.Report
-	at     time.Time
-}
-
-// addReport adds a report from an instance of the service to all pooled judges,
-// and keeps it for judges that are created later.
-func (j *judges) addReport(r gtcanary.Report) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if j.latest == nil {
-		j.latest = map[string]timedReport{}
-	}
-	if _, known := j.latest[r.Instance()]; known || len(j.latest) < maxReports {
-		j.latest[r.Instance()] = timedReport{r, j.now()}
-	}
-	for _, p := range j.pooled {
-		p.judge.AddReport(r)
-	}
-}
-
-// pooledJudge returns the pooled judge of a move, and creates it if necessary.
-func (j *judges) pooledJudge(m gtconfig.Move) *pooledJudge {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if j.pooled == nil {
-		j.pooled = map[string]*pooledJudge{}
-	}
-	p := j.pooled[m.ID()]
-	if p == nil {
-		p = &pooledJudge{judge: &gtcanary.Judge{Now: j.now, From: m.From(), To: m.To(), Threshold: gtcanary.PooledThreshold}}
-		for _, last := range j.latest {
-			p.judge.AddReport(last.report)
-		}
-		j.pooled[m.ID()] = p
-	}
-	return p
-}
-
-// localJudge returns the local judge of a move, and creates it if necessary.
-func (j *judges) localJudge(m gtconfig.Move) *gtcanary.Judge {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if j.local == nil {
-		j.local = map[string]*gtcanary.Judge{}
-	}
-	judge := j.local[m.ID()]
-	if judge == nil {
-		judge = &gtcanary.Judge{Now: j.now, From: m.From(), To: m.To(), Threshold: gtcanary.LocalThreshold}
-		j.local[m.ID()] = judge
-	}
-	return judge
-}
-
-// prune deletes the judges of moves whose IDs are not in active, and reports older
-// than reportRetention.
-func (j *judges) prune(active map[string]bool) {
-	now := j.now()
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	for id := range j.pooled {
-		if !active[id] {
-			delete(j.pooled, id)
-		}
-	}
-	for id := range j.local {
-		if !active[id] {
-			delete(j.local, id)
-		}
-	}
-	for instance, last := range j.latest {
-		if now.Sub(last.at) > reportRetention {
-			delete(j.latest, instance)
-		}
-	}
-}
-
 // driveMoves reports this node's outcome counts to the drivers of its service's
 // move, and drives the move if this node is one of them, until ctx ends.
 func (n *Node) driveMoves(ctx context.Context) {
 	ticker := n.timer.Every(drivePeriod, 0.1)
 	defer ticker.Stop()
 	var schedule gtcanary.ReportSchedule
+	var logged loggedMove
 	for {
 		select {
 		case <-ctx.Done():
@@ -151,11 +47,10 @@
 			continue
 		}
 		drivers := n.drivers(m)
+		n.logMove(m, drivers, &logged)
 		n.sendReport(ctx, drivers, &schedule)
-		for rank, r := range drivers {
-			if r.Instance() == n.Settings.Node.Instance {
-				n.driveMove(ctx, m, rank)
-			}
+		if rank := rankOf(n.Settings.Node.Instance, drivers); rank >= 0 {
+			n.driveMove(ctx, m, rank)
 		}
 	}
 }
@@ -174,11 +69,7 @@
 		if m.Name() != name {
 			continue
 		}
-		for rank, r := range n.drivers(m) {
-			if r.Instance() == n.Settings.Node.Instance {
-				return rank
-			}
-		}
+		return rankOf(n.Settings.Node.Instance, n.drivers(m))
 	}
 	return -1
 }
@@ -236,16 +127,19 @@
 	if save == nil {
 		save = n.configStore.PutMove
 	}
+	n.logFindings(m, rank, next)
 	written, err := save(ctx, next)
+	took := n.timer.Time().Sub(now)
+	n.scope.Timer("move_write").Record(took)
 	if err != nil {
-		n.Log.Info().Err(err).Str("move", m.Name()).Msg("move: writing the next state to the store failed")
+		n.Log.Info().Err(err).Str("move", m.Name()).Int64("ms", took.Milliseconds()).Msg("move: writing the next state to the store failed")
 		if next.Phase() == gtmove.RolledBack {
 			n.haltMove(m, next.Reason())
 		}
 		return
 	}
 	if n.moves.Merge(written) {
-		n.Log.Info().Str("move", m.Name()).Stringer("phase", written.Phase()).Float64("share", written.Share()).Str("reason", written.Reason()).Msg("move: new state")
+		n.Log.Info().Str("move", m.Name()).Stringer("phase", written.Phase()).Float64("share", written.Share()).Str("reason", written.Reason()).Int64("ms", took.Milliseconds()).Msg("move: new state")
 		n.overlay.AnnounceMove(written)
 	}
 }
@@ -262,6 +156,10 @@
 	}
 	reason := ""
 	if a, ok := p.judge.Alarm(); ok {
+		if !p.alarmLogged {
+			p.alarmLogged = true
+			n.logAlarm(m, pooledJudgeName, a)
+		}
 		reason = a.String()
 	}
 	if h, ok := n.moves.Halt(m.ID()); ok {
@@ -299,30 +197,3 @@
 	}
 	return found
 }
-
-// haltMove stops traffic to the new version of a move without writing to the
-// store, on this node and on all peers.
-func (n *Node) haltMove(m gtconfig.Move, reason string) {
-	h := gtmove.NewHalt(m.ID(), n.Settings.Node.Instance, reason)
-	if n.moves.AddHalt(h) {
-		n.Log.Warn().Str("move", m.Name()).Str("reason", reason).Msg("move: new version halted")
-		n.overlay.AnnounceHalt(h)
-	}
-}
-
-// recordOutcome adds the outcome of an attempt to the local judge of the service's
-// move, and halts the move if the judge raises an alarm.
-func (n *Node) recordOutcome(service, route, version string, o gtcanary.Outcome) {
-	m, ok := n.holder.Current().Config().Move(service)
-	if !ok {
-		return
-	}
-	if s, ok := n.moves.State(m.ID()); !ok || s.Phase() >= gtmove.Done {
-		return
-	}
-	judge := n.judges.localJudge(m)
-	judge.AddOutcome(route, version, o)
-	if a, ok := judge.Alarm(); ok {
-		n.haltMove(m, a.String())
-	}
-}
--- /dev/null
+++ b/io/process/gtnode/judges.go
@@ -0,0 +1,132 @@
+package gtnode
+
+import (
+	"sync"
+	"time"
+
+	"godwittide/core/version/gtcanary"
+	"godwittide/core/version/gtconfig"
+)
+
+const (
+	// reportRetention is how long the last report of an instance is kept.
+	reportRetention = 10 * time.Minute
+	// maxReports bounds the number of instances whose last report is kept.
+	maxReports = 16 << 10
+)
+
+// judges holds the judges of the active moves: pooled ones, fed by the reports of
+// all instances, for the moves that this node may drive, and local ones, fed by
+// the outcomes that this node observes itself.
+type judges struct {
+	now func() time.Time
+
+	mu     sync.Mutex
+	pooled map[string]*pooledJudge
+	local  map[string]*gtcanary.Judge
+	latest map[string]timedReport
+}
+
+// pooledJudge is the judge of one move that this node may drive. Its seq is the
+// sequence number of the move's state at the last evaluation, and changeDueSince
+// the time since which a change of the state is due, or zero.
+type pooledJudge struct {
+	judge          *gtcanary.Judge
+	seq            int64
+	changeDueSince time.Time
+	alarmLogged    bool
+}
+
+// timedReport is the last report of an instance and its time of arrival. A new
+// judge starts with the last reports of all instances.
+type timedReport struct {
+	report gtcanary.Report
+	at     time.Time
+}
+
+// addReport adds a report from an instance of the service to all pooled judges,
+// and keeps it for judges that are created later.
+func (j *judges) addReport(r gtcanary.Report) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.latest == nil {
+		j.latest = map[string]timedReport{}
+	}
+	if _, known := j.latest[r.Instance()]; known || len(j.latest) < maxReports {
+		j.latest[r.Instance()] = timedReport{r, j.now()}
+	}
+	for _, p := range j.pooled {
+		p.judge.AddReport(r)
+	}
+}
+
+// reportAges returns the number of instances with a report, and the age of the oldest
+// report, among the given instances.
+func (j *judges) reportAges(instances []string) (reported int, oldest time.Duration) {
+	now := j.now()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, instance := range instances {
+		if last, ok := j.latest[instance]; ok {
+			reported++
+			oldest = max(oldest, now.Sub(last.at))
+		}
+	}
+	return reported, oldest
+}
+
+// pooledJudge returns the pooled judge of a move, and creates it if necessary.
+func (j *judges) pooledJudge(m gtconfig.Move) *pooledJudge {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.pooled == nil {
+		j.pooled = map[string]*pooledJudge{}
+	}
+	p := j.pooled[m.ID()]
+	if p == nil {
+		p = &pooledJudge{judge: &gtcanary.Judge{Now: j.now, From: m.From(), To: m.To(), Threshold: gtcanary.PooledThreshold}}
+		for _, last := range j.latest {
+			p.judge.AddReport(last.report)
+		}
+		j.pooled[m.ID()] = p
+	}
+	return p
+}
+
+// localJudge returns the local judge of a move, and creates it if necessary.
+func (j *judges) localJudge(m gtconfig.Move) *gtcanary.Judge {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.local == nil {
+		j.local = map[string]*gtcanary.Judge{}
+	}
+	judge := j.local[m.ID()]
+	if judge == nil {
+		judge = &gtcanary.Judge{Now: j.now, From: m.From(), To: m.To(), Threshold: gtcanary.LocalThreshold}
+		j.local[m.ID()] = judge
+	}
+	return judge
+}
+
+// prune deletes the judges of moves whose IDs are not in active, and reports older
+// than reportRetention.
+func (j *judges) prune(active map[string]bool) {
+	now := j.now()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for id := range j.pooled {
+		if !active[id] {
+			delete(j.pooled, id)
+		}
+	}
+	for id := range j.local {
+		if !active[id] {
+			delete(j.local, id)
+		}
+	}
+	for instance, last := range j.latest {
+		if now.Sub(last.at) > reportRetention {
+			delete(j.latest, instance)
+		}
+	}
+}
--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -126,6 +126,7 @@
 	edge         *gtedge.Edge
 
 	judges         judges
+	omissions      omissions
 	servers        servers
 	backend        backendState
 	departures     departures
@@ -284,7 +285,7 @@
 		Now: now, Self: n.table.Self, Address: cfg.Backend.Address, MaxBufferBytes: cfg.Limit.MaxBufferBytes, Pool: n.backendPool,
 		Gate: n.gate, Keys: n.dedup, Crashes: n.crashes, Outcomes: n.outcomes,
 		HistoryKnown: n.dedupHistoryKnown, OnCrash: n.announceCrash, CheckDown: n.probeDown, ReadyAt: n.backend.readyTime, Trace: n.tracer.Start,
-		Dialect: n.Dialect, OnResult: n.logBackendCall,
+		Dialect: n.Dialect, OnResult: n.logBackendCall, OnOmitted: n.countOmitted,
 	}
 	n.hopHandler = &gthop.Handler{LocalBackend: n.localBackend, Timer: n.timer, MaxBodyBytes: cfg.Limit.MaxBodyBytes, OnPanic: n.recordPanic, PausedSince: n.timer.PausedSince}
 	client := &gthop.Client{Now: now, Pool: n.hopPool, Dialect: n.Dialect, MaxBufferBytes: cfg.Limit.MaxBufferBytes, Trace: n.tracer.Start}
@@ -293,7 +294,7 @@
 		MaxBodyBytes: cfg.Limit.MaxBodyBytes, MaxHops: cfg.Limit.MaxHops, Holder: n.holder, Router: n.router, Instances: n.table.ServiceMembers,
 		Retry: n.retry, Crashes: n.crashes, OnCrash: n.mergeCrash, HistoryKnown: n.dedupHistoryKnown, LocalBackend: n.localBackend, Client: client,
 		MayBegin: n.drain.MayBegin, OnOutcome: n.recordOutcome, OnResponse: n.recordResponse, Trace: n.tracer.Start, OnPanic: n.recordPanic,
-		Dialect: n.Dialect, Split: split, OnRetry: n.logRetry,
+		Dialect: n.Dialect, Split: split, OnRetry: n.logRetry, OnOmitted: n.countOmittedAttempt,
 	}
 }
 
@@ -302,7 +303,7 @@
 	n.overlay = &gtoverlay.Overlay{
 		Timer: n.timer, Log: n.Log, Cluster: cfg.Node.Cluster, Dial: n.dialNode, Seeds: cfg.Node.Peers,
 		Table: n.table, Holder: n.holder, Moves: n.moves, Crashes: n.crashes,
-		Install: n.installVersion, OnReport: n.judges.addReport,
+		Install: n.installVersion, OnReport: n.judges.addReport, OnHalt: n.logHalt,
 	}
 	if n.Heartbeats != nil {
 		n.overlay.OnDeparted = n.handleDeparted
--- a/io/process/gtoverlay/facts.go
+++ b/io/process/gtoverlay/facts.go
@@ -131,7 +131,7 @@
 			o.noteSender(m, from)
 		}
 	}
-	if err := o.mergeMoves(f, &changes); err != nil {
+	if err := o.mergeMoves(f, &changes, from); err != nil {
 		return err
 	}
 	now := o.Timer.Time()
@@ -154,7 +154,7 @@
 	return nil
 }
 
-func (o *Overlay) mergeMoves(f Facts, changes *Facts) error {
+func (o *Overlay) mergeMoves(f Facts, changes *Facts, from *peerLink) error {
 	for _, m := range f.Moves {
 		s, err := m.Decode()
 		if err != nil {
@@ -171,6 +171,9 @@
 		}
 		if o.Moves.AddHalt(h) {
 			changes.Halts = append(changes.Halts, m)
+			if o.OnHalt != nil {
+				o.OnHalt(h, from.instance)
+			}
 		}
 	}
 	return nil
--- a/io/process/gtoverlay/overlay.go
+++ b/io/process/gtoverlay/overlay.go
@@ -98,6 +98,9 @@
 	// OnDeparted is called with the process of the local backend server that, as a peer
 	// remembers, announced its shutdown; nil means that nothing is done.
 	OnDeparted func(process string)
+	// OnHalt is called with each halt that was new to this node and the peer that sent
+	// it; nil means that nothing is done.
+	OnHalt func(h gtmove.Halt, peer string)
 	// OnReport is called with each report that was sent to this node.
 	OnReport func(r gtcanary.Report)
 
--- a/io/request/gtedge/edge.go
+++ b/io/request/gtedge/edge.go
@@ -82,6 +82,9 @@
 	// OnOutcome is called with the outcome of each attempt, if that is evidence
 	// about the version that ran it.
 	OnOutcome func(service, route, version string, o gtcanary.Outcome)
+	// OnOmitted is called with the error kind of each attempt whose outcome is not
+	// evidence. It may be nil.
+	OnOmitted func(reason string)
 	// OnResponse is called before each response is written, with the call, its error
 	// or nil, and the time that it took. The call is empty if the request was refused
 	// before its call was built.
@@ -335,6 +338,9 @@
 	case gtkind.ConnectionLost, gtkind.Crashed:
 		failed = true
 	default:
+		if e.OnOmitted != nil {
+			e.OnOmitted(k.String())
+		}
 		return
 	}
 	e.OnOutcome(c.Service(), c.Route(), to.Version(), gtcanary.NewOutcome(failed, d).WithoutLatency())
--- a/io/request/gthop/localbackend.go
+++ b/io/request/gthop/localbackend.go
@@ -42,6 +42,9 @@
 	Crashes *gtdedup.Crashes
 	// Outcomes counts outcomes as evidence about the version.
 	Outcomes *gtcanary.OutcomeCounter
+	// OnOmitted is called with the reason for which an outcome, or its latency, is not
+	// counted. It may be nil.
+	OnOmitted func(reason string)
 	// HistoryKnown reports whether this node would know an earlier request to the
 	// service with the same idempotency key.
 	HistoryKnown func(service string) bool
@@ -291,18 +294,27 @@
 // recordEvidence records the outcome as evidence about the version, unless the
 // caller caused it or the backend server did not run the request.
 func (b *LocalBackend) recordEvidence(c gtcall.Call, status int, latency time.Duration, err error) {
-	switch gtkind.Of(err) {
+	switch k := gtkind.Of(err); k {
 	case gtkind.Canceled, gtkind.BadRequest, gtkind.Down, gtkind.NotExecuted:
+		b.omit(k.String())
 		return
 	default:
 	}
 	o := gtcanary.NewOutcome(err != nil || isServerError(status), latency)
 	if b.Now().Sub(b.ReadyAt()) < warmUpPeriod {
+		b.omit("warming up")
 		o = o.WithoutLatency()
 	}
 	b.Outcomes.Add(c.Route(), o)
 }
 
+// omit reports why an outcome or its latency is not counted.
+func (b *LocalBackend) omit(reason string) {
+	if b.OnOmitted != nil {
+		b.OnOmitted(reason)
+	}
+}
+
 // isServerError reports whether a status is an error of the backend server. 503
 // is not, as it means load shedding.
 func isServerError(status int) bool {
