gtnode: halt a bad version before its rollback is written

Callers got slow answers for as long as the write of the rollback took.

Ruled out: late evidence; all three drivers raised their alarm after 14 to 20 slow answers. Failures were halted by local judges, 16 to 24 answers, without the store.

--- a/io/process/gtnode/drive.go
+++ b/io/process/gtnode/drive.go
@@ -97,10 +97,9 @@
 	}
 }
 
-// driveMove evaluates a move and writes its next state, if a change is due. Drivers
-// with a rank above 0 delay the change, unless it lowers the share of traffic. If
-// a rollback can't be written to the store, the move is halted on this node and
-// all peers instead.
+// driveMove evaluates a move and has its next state written, if a change is due. A
+// version that is rolled back is halted on this node and all peers first, since the
+// write may take long. Drivers with a rank above 0 delay the write.
 func (n *Node) driveMove(ctx context.Context, m gtconfig.Move, rank int) {
 	if n.SaveMove == nil && n.configStore == nil || n.drain.Begun() {
 		return
@@ -117,25 +116,35 @@
 		p.changeDueSince = time.Time{}
 		return
 	}
+	if next.Phase() == gtmove.RolledBack {
+		n.haltMove(m, next.Reason())
+	}
 	if p.changeDueSince.IsZero() {
 		p.changeDueSince = now
 	}
-	if next.Share() >= state.Share() && now.Sub(p.changeDueSince) < time.Duration(rank)*standbyDelay {
+	if now.Sub(p.changeDueSince) < time.Duration(rank)*standbyDelay || !p.writing.CompareAndSwap(false, true) {
 		return
 	}
+	n.logFindings(m, rank, next)
+	n.wg.Go(func() {
+		defer p.writing.Store(false)
+		n.writeMove(ctx, m, next)
+	})
+}
+
+// writeMove writes the state of a move to the store, and announces the state that is
+// stored afterwards.
+func (n *Node) writeMove(ctx context.Context, m gtconfig.Move, next gtmove.State) {
 	save := n.SaveMove
 	if save == nil {
 		save = n.configStore.PutMove
 	}
-	n.logFindings(m, rank, next)
+	start := n.timer.Time()
 	written, err := save(ctx, next)
-	took := n.timer.Time().Sub(now)
+	took := n.timer.Time().Sub(start)
 	n.scope.Timer("move_write").Record(took)
 	if err != nil {
 		n.Log.Info().Err(err).Str("move", m.Name()).Int64("ms", took.Milliseconds()).Msg("move: writing the next state to the store failed")
-		if next.Phase() == gtmove.RolledBack {
-			n.haltMove(m, next.Reason())
-		}
 		return
 	}
 	if n.moves.Merge(written) {
--- a/io/process/gtnode/judges.go
+++ b/io/process/gtnode/judges.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"godwittide/core/version/gtcanary"
@@ -28,13 +29,14 @@
 }
 
 // pooledJudge is the judge of one move that this node may drive. Its seq is the
-// sequence number of the move's state at the last evaluation, and changeDueSince
-// the time since which a change of the state is due, or zero.
+// sequence number of the move's state at the last evaluation, changeDueSince the time
+// since which a change of the state is due, or zero, and writing is true during a write.
 type pooledJudge struct {
 	judge          *gtcanary.Judge
 	seq            int64
 	changeDueSince time.Time
 	alarmLogged    bool
+	writing        atomic.Bool
 }
 
 // timedReport is the last report of an instance and its time of arrival. A new
