--- a/core/request/gtroute/route.go
+++ b/core/request/gtroute/route.go
@@ -66,6 +66,10 @@
 	// MoveShare returns the current share of traffic, 0 to 1, of the new version
 	// in a move.
 	MoveShare func(m gtconfig.Move) float64
+	// OnMovePick is called with the service, the version of the instance and the
+	// reason each time an instance is picked for a service that has a move. It may be
+	// nil.
+	OnMovePick func(service, version string, reason Reason)
 
 	peers gtshard.Map[*peer]
 }
@@ -84,13 +88,13 @@
 		return gtmember.Record{}, gtkind.New(gtkind.NoBackend, "service %q has no ready backend server", q.service)
 	}
 	versions := rt.versions(cfg, service, q)
-	for _, v := range versions {
+	for i, v := range versions {
 		list := ofVersion(eligible, v, moveTarget(cfg, service))
 		if len(list) == 0 {
 			continue
 		}
 		if q.key != "" {
-			return rt.keyOwner(list, q), nil
+			return rt.picked(cfg, q, rt.keyOwner(list, q), i), nil
 		}
 		best := rt.balance(list, q.route)
 		if best.probing {
@@ -99,11 +103,20 @@
 		if len(q.tried) > 0 && best.load >= queueFullLoad {
 			return gtmember.Record{}, gtkind.New(gtkind.Full, "all other known backend servers of service %q are full", q.service)
 		}
-		return best.record, nil
+		return rt.picked(cfg, q, best.record, i), nil
 	}
 	return gtmember.Record{}, gtkind.New(gtkind.NoBackend, "service %q has no ready backend server of version %q", q.service, versions[0])
 }
 
+// picked reports to OnMovePick that r, of the version with the given index in the
+// order of preference, was picked, and returns r.
+func (rt *Router) picked(cfg *gtconfig.Config, q Query, r gtmember.Record, index int) gtmember.Record {
+	if _, ok := cfg.Move(q.service); ok && rt.OnMovePick != nil {
+		rt.OnMovePick(q.service, r.Version(), q.reason(index))
+	}
+	return r
+}
+
 // InstancesForKey returns up to n instances for a request's idempotency key, in
 // the order in which they are tried.
 func (rt *Router) InstancesForKey(cfg *gtconfig.Config, q Query, n int) []gtmember.Record {
--- a/io/process/gtnode/admin.go
+++ b/io/process/gtnode/admin.go
@@ -13,6 +13,7 @@
 	"godwittide/core/process/gtrank"
 	"godwittide/core/request/gtcall"
 	"godwittide/core/request/gtkind"
+	"godwittide/core/request/gtroute"
 	"godwittide/io/connection/gtwire"
 )
 
@@ -157,6 +158,11 @@
 	n.scope.Timer("answer").Record(d)
 }
 
+// countMovePick counts an instance picked for a service with a move.
+func (n *Node) countMovePick(service, version string, reason gtroute.Reason) {
+	n.scope.Tagged(map[string]string{"service": service, "version": version, "reason": reason.String()}).Counter("picks").Inc(1)
+}
+
 // updateGauges sets the gauges to the current state of the node.
 func (n *Node) updateGauges() {
 	s := n.Status()
