gtroute, gtedge: the share of a new version is a limit for fallbacks and retries too

Cause: while the share was above 0, a request without an eligible old server went to the new version, and each attempt of a request drew anew.

Ruled out: the independent draw on each node.

Why it works: a request is drawn once for all of its attempts, goes to the new version only if drawn for it and not tried there, and has no other way to it below a share of 1. An attempt is given up or tried again only if the router then has a server for it.

--- a/core/request/gtroute/move_test.go
+++ b/core/request/gtroute/move_test.go
@@ -73,3 +73,112 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(m.picks["1"][Retry]).To(gomega.Equal(1))
 }
+
+const (
+	// maxExposure and exposureSlack bound what a version on trial gets: this share of
+	// the requests that reach its service, and so many more.
+	maxExposure   = 0.1
+	exposureSlack = 50
+)
+
+// stopOldServers simulates requests during stops of the three instances of version 1.
+// Each is away for the given number of steps, and the next stop begins period steps after
+// the last. It returns the numbers of requests that reached version 1 and version 2, and
+// of those that were refused.
+func stopOldServers(g *gomega.WithT, seed uint64, share float64, period, away int) (oldCount, newCount, refused int) {
+	const steps, requestsPerStep = 100, 20
+	m := newMoveRouter(g, seed, 3, 3)
+	m.share = share
+	for step := range steps {
+		for i := range 3 {
+			state := gtmember.Ready
+			if (step+(3-i)*period)%(3*period) < away {
+				state = gtmember.Leaving
+			}
+			m.setState(i, state)
+		}
+		for range requestsPerStep {
+			to, err := m.Pick(m.cfg, NewQuery("s"))
+			switch {
+			case err != nil:
+				refused++
+			case to.Version() == "2":
+				newCount++
+			default:
+				oldCount++
+			}
+		}
+	}
+	return oldCount, newCount, refused
+}
+
+// While servers of the old version stop in turn and there are moments without one, the
+// new version must not get more than its share: it may be a bad one.
+func TestStopsOfOldServersDoNotExposeNewVersion(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, away := range []int{5, 10, 12} {
+		worst, refusals := 0, 0
+		for seed := range uint64(50) {
+			oldCount, newCount, refused := stopOldServers(g, seed, 0.05, 5, away)
+			g.Expect(float64(newCount)).To(gomega.BeNumerically("<=", maxExposure*float64(oldCount+newCount)+exposureSlack), "seed %d, away for %d steps", seed, away)
+			worst, refusals = max(worst, newCount), max(refusals, refused)
+		}
+		t.Logf("away for %d steps: at most %d of 2000 requests reached the new version, %d were refused", away, worst, refusals)
+	}
+}
+
+// A request that is drawn for the old version must not go to the new one when attempts
+// fail, however many, and one that fails at the new version must not try it again.
+func TestRetriesDoNotExposeNewVersion(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := newMoveRouter(g, 3, 2, 2)
+	m.share = 0.05
+	for range 2000 {
+		q := m.DrawVersion(m.cfg, NewQuery("s"))
+		var tried, versions []string
+		for range 4 {
+			to, err := m.Pick(m.cfg, q.WithTried(tried))
+			if err != nil {
+				break
+			}
+			tried, versions = append(tried, to.Instance()), append(versions, to.Version())
+		}
+		g.Expect(versions).To(gomega.Or(gomega.Equal([]string{"1", "1"}), gomega.Equal([]string{"2", "1", "1"})))
+	}
+}
+
+// Over few requests, spread over many nodes that restart meanwhile, the new version gets
+// its share and no more.
+func TestShareHoldsOverFewRequestsOfManyNodes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const nodes, requestsPerNode, restarts, share = 12, 30, 3, 0.05
+	worst := 0
+	for seed := range uint64(200) {
+		exposed := 0
+		for i := range uint64(nodes * restarts) {
+			m := newMoveRouter(g, seed*1000+i, 2, 2)
+			m.share = share
+			for range requestsPerNode / restarts {
+				if to, err := m.Pick(m.cfg, NewQuery("s")); err == nil && to.Version() == "2" {
+					exposed++
+				}
+			}
+		}
+		worst = max(worst, exposed)
+	}
+	t.Logf("at most %d of %d requests", worst, nodes*requestsPerNode)
+	g.Expect(worst).To(gomega.BeNumerically("<=", maxExposure*nodes*requestsPerNode+exposureSlack))
+}
+
+// An attempt must not be given up for another one if only servers of the new version are
+// left for it.
+func TestNoOtherInstanceIsLeftWithoutOldVersion(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := newMoveRouter(g, 4, 2, 2)
+	q := m.DrawVersion(m.cfg, NewQuery("s"))
+	m.share = q.draw
+	g.Expect(m.CanPick(m.cfg, q.WithTried([]string{"a"}))).To(gomega.BeTrue())
+	g.Expect(m.CanPick(m.cfg, q.WithTried([]string{"a", "b"}))).To(gomega.BeFalse())
+	m.share = 1
+	g.Expect(m.CanPick(m.cfg, q.WithTried([]string{"a", "b"}))).To(gomega.BeTrue())
+}
--- a/core/request/gtroute/reason.go
+++ b/core/request/gtroute/reason.go
@@ -9,8 +9,7 @@
 	Drawn Reason = iota
 	// Fallback means that the version that was drawn has no eligible instance.
 	Fallback
-	// Retry means that the request has been tried on another instance, or that the
-	// instance is a further one for an idempotency key.
+	// Retry means that the request has been tried on another instance.
 	Retry
 )
 
--- a/core/request/gtroute/route.go
+++ b/core/request/gtroute/route.go
@@ -30,6 +30,10 @@
 	route   string
 	key     string
 	tried   []string
+	// draw is the number in [0,1) that decides between the versions of a move, if
+	// drawn is set.
+	draw  float64
+	drawn bool
 }
 
 // NewQuery returns a query for a service.
@@ -79,85 +83,79 @@
 // another request is probing them, and Full if the request has been tried before
 // and the other instances have a full queue.
 func (rt *Router) Pick(cfg *gtconfig.Config, q Query) (gtmember.Record, error) {
-	service, ok := cfg.Service(q.service)
-	if !ok {
-		return gtmember.Record{}, gtkind.New(gtkind.NoRoute, "service %q is not configured", q.service)
-	}
-	eligible := rt.eligible(cfg, q)
-	if len(eligible) == 0 {
-		return gtmember.Record{}, gtkind.New(gtkind.NoBackend, "service %q has no ready backend server", q.service)
+	r, reason, err := rt.pick(cfg, q)
+	if err == nil {
+		rt.reportMovePick(cfg, q, r, reason)
 	}
-	versions := rt.versions(cfg, service, q)
-	for i, v := range versions {
-		list := ofVersion(eligible, v, moveTarget(cfg, service))
-		if len(list) == 0 {
-			continue
-		}
-		if q.key != "" {
-			return rt.picked(cfg, q, rt.keyOwner(list, q), i), nil
-		}
-		best := rt.balance(list, q.route)
-		if best.probing {
-			return gtmember.Record{}, gtkind.New(gtkind.NoBackend, "backend servers of service %q are unreachable and being probed by another request", q.service)
-		}
-		if len(q.tried) > 0 && best.load >= queueFullLoad {
-			return gtmember.Record{}, gtkind.New(gtkind.Full, "all other known backend servers of service %q are full", q.service)
-		}
-		return rt.picked(cfg, q, best.record, i), nil
-	}
-	return gtmember.Record{}, gtkind.New(gtkind.NoBackend, "service %q has no ready backend server of version %q", q.service, versions[0])
+	return r, err
 }
 
-// picked reports to OnMovePick that r, of the version with the given index in the
-// order of preference, was picked, and returns r.
-func (rt *Router) picked(cfg *gtconfig.Config, q Query, r gtmember.Record, index int) gtmember.Record {
-	if _, ok := cfg.Move(q.service); ok && rt.OnMovePick != nil {
-		rt.OnMovePick(q.service, r.Version(), q.reason(index))
-	}
-	return r
+// CanPick reports whether Pick has an instance for the request.
+func (rt *Router) CanPick(cfg *gtconfig.Config, q Query) bool {
+	_, _, err := rt.pick(cfg, q)
+	return err == nil
 }
 
 // InstancesForKey returns up to n instances for a request's idempotency key, in
 // the order in which they are tried.
 func (rt *Router) InstancesForKey(cfg *gtconfig.Config, q Query, n int) []gtmember.Record {
 	var ranked []gtmember.Record
-	for range n {
-		r, err := rt.Pick(cfg, q)
+	for i := range n {
+		r, reason, err := rt.pick(cfg, q)
 		if err != nil {
 			break
 		}
+		if i == 0 {
+			rt.reportMovePick(cfg, q, r, reason)
+		}
 		ranked = append(ranked, r)
 		q = q.WithTried(append(append([]string(nil), q.tried...), r.Instance()))
 	}
 	return ranked
 }
 
-// versions returns the versions to try, in order of preference. During a move the
-// other version is a fallback, except while the new version has no share of
-// traffic.
-func (rt *Router) versions(cfg *gtconfig.Config, s gtconfig.Service, q Query) []string {
-	m, ok := cfg.Move(s.Name())
+// reportMovePick calls OnMovePick if the service has a move.
+func (rt *Router) reportMovePick(cfg *gtconfig.Config, q Query, r gtmember.Record, reason Reason) {
+	if _, ok := cfg.Move(q.service); ok && rt.OnMovePick != nil {
+		rt.OnMovePick(q.service, r.Version(), reason)
+	}
+}
+
+// pick returns the instance for a request and the reason for its version.
+func (rt *Router) pick(cfg *gtconfig.Config, q Query) (gtmember.Record, Reason, error) {
+	service, ok := cfg.Service(q.service)
 	if !ok {
-		return []string{s.Version()}
+		return gtmember.Record{}, Drawn, gtkind.New(gtkind.NoRoute, "service %q is not configured", q.service)
 	}
-	share := rt.MoveShare(m)
-	if share <= 0 {
-		return []string{m.From()}
+	eligible := rt.eligible(cfg, q)
+	if len(eligible) == 0 {
+		return gtmember.Record{}, Drawn, gtkind.New(gtkind.NoBackend, "service %q has no ready backend server", q.service)
 	}
-	if rt.versionDraw(m, q.key) < share {
-		return []string{m.To(), m.From()}
+	versions := rt.versions(cfg, service, q)
+	for i, v := range versions {
+		list := ofVersion(eligible, v, moveTarget(cfg, service))
+		if len(list) == 0 {
+			continue
+		}
+		r, err := rt.pickOf(list, q)
+		return r, q.reason(i), err
 	}
-	return []string{m.From(), m.To()}
+	return gtmember.Record{}, Drawn, gtkind.New(gtkind.NoBackend, "service %q has no ready backend server of version %q", q.service, versions[0])
 }
 
-// versionDraw returns a number in [0,1) that decides between the versions of a
-// move. It is random for requests without a key. With one it is a hash of the key,
-// so that resends go to the same version as long as the share is unchanged.
-func (rt *Router) versionDraw(m gtconfig.Move, key string) float64 {
-	if key == "" {
-		return rt.Rand()
+// pickOf returns the instance for a request among those of a version.
+func (rt *Router) pickOf(list []gtmember.Record, q Query) (gtmember.Record, error) {
+	if q.key != "" {
+		return rt.keyOwner(list, q), nil
 	}
-	return float64(gtshard.Hash("version", m.ID(), key)>>11) / (1 << 53)
+	best := rt.balance(list, q.route)
+	if best.probing {
+		return gtmember.Record{}, gtkind.New(gtkind.NoBackend, "backend servers of service %q are unreachable and being probed by another request", q.service)
+	}
+	if len(q.tried) > 0 && best.load >= queueFullLoad {
+		return gtmember.Record{}, gtkind.New(gtkind.Full, "all other known backend servers of service %q are full", q.service)
+	}
+	return best.record, nil
 }
 
 // eligible returns the ready instances of the service that are not in a drained
@@ -182,28 +180,6 @@
 	return false
 }
 
-// moveTarget returns the version that the service is moving to, or "" if there is
-// no move.
-func moveTarget(cfg *gtconfig.Config, s gtconfig.Service) string {
-	m, _ := cfg.Move(s.Name())
-	return m.To()
-}
-
-// ofVersion returns the instances of a version. An empty version means all, and
-// gtconfig.OtherVersions all but those of target.
-func ofVersion(list []gtmember.Record, version, target string) []gtmember.Record {
-	if version == "" {
-		return list
-	}
-	var out []gtmember.Record
-	for _, r := range list {
-		if r.Version() == version || version == gtconfig.OtherVersions && r.Version() != target {
-			out = append(out, r)
-		}
-	}
-	return out
-}
-
 // splitByZone returns the instances in the local zone and those in other zones.
 func (rt *Router) splitByZone(list []gtmember.Record) (local, remote []gtmember.Record) {
 	for _, r := range list {
--- a/io/request/gtedge/edge.go
+++ b/io/request/gtedge/edge.go
@@ -14,6 +14,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -215,7 +216,7 @@
 // sendWithRetries sends a call to the backend server that the router picks, and
 // after a failure to others, as long as the retry policy allows it.
 func (e *Edge) sendWithRetries(ctx context.Context, cfg *gtconfig.Config, c gtcall.Call) (gtcall.Response, error) {
-	q := gtroute.NewQuery(c.Service()).WithRoute(c.Route())
+	q := e.Router.DrawVersion(cfg, gtroute.NewQuery(c.Service()).WithRoute(c.Route()))
 	e.Retry.RecordFirstAttempt(c.Service())
 	var tried []string
 	var lastErr error
@@ -228,7 +229,9 @@
 			}
 			return gtcall.Response{}, err
 		}
-		attemptCtx := e.withGiveUp(ctx, to, func() bool { return e.mayGiveUp(c, count, reached+1) })
+		tried = append(tried, to.Instance())
+		others := q.WithTried(slices.Clone(tried))
+		attemptCtx := e.withGiveUp(ctx, to, func() bool { return e.mayGiveUp(c, count, reached+1) && e.Router.CanPick(cfg, others) })
 		resp, err := e.attempt(attemptCtx, c, to)
 		k := gtkind.Of(err)
 		if err == nil && c.Idempotent() && resp.Status() == http.StatusServiceUnavailable {
@@ -237,11 +240,11 @@
 		if k == gtkind.None {
 			return resp, nil
 		}
-		tried, lastErr = append(tried, to.Instance()), err
+		lastErr = err
 		if k.MayHaveReachedBackend() {
 			reached++
 		}
-		if !e.shouldRetry(ctx, c, k, count, reached) {
+		if !e.Router.CanPick(cfg, others) || !e.shouldRetry(ctx, c, k, count, reached) {
 			return resp, err
 		}
 		if resp.Stream() != nil {
