gtroute: an unreachable new version turns no request away

What callers saw: in a move, 503 nobackend for requests drawn for a new version whose servers are unreachable or full, although old servers were ready.

Cause: only a version without any ready server let the next one have its turn.

Evidence: TestUnreachableNewVersionTurnsNoRequestAway was red before (nobackend at the first request that was drawn for the new version), green after.

Why it works: each version in the order of preference is asked; below a share of 1 the old version still has no fallback.

--- a/core/request/gtroute/move_test.go
+++ b/core/request/gtroute/move_test.go
@@ -182,3 +182,19 @@
 	m.share = 1
 	g.Expect(m.CanPick(m.cfg, q.WithTried([]string{"a", "b"}))).To(gomega.BeTrue())
 }
+
+// While the servers of the new version are full or unreachable, requests that are drawn
+// for it must go to the old one.
+func TestUnreachableNewVersionTurnsNoRequestAway(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := newMoveRouter(g, 5, 1, 1)
+	m.share = 0.5
+	m.Begin("b")
+	m.End("b", "r", gtkind.Unresponsive, Load{})
+	m.Begin("b")
+	for range 200 {
+		to, err := m.Pick(m.cfg, NewQuery("s"))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(to.Instance()).To(gomega.Equal("a"))
+	}
+}
--- a/core/request/gtroute/route.go
+++ b/core/request/gtroute/route.go
@@ -121,7 +121,8 @@
 	}
 }
 
-// pick returns the instance for a request and the reason for its version.
+// pick returns the instance for a request and the reason for its version. The error
+// is that of the preferred version.
 func (rt *Router) pick(cfg *gtconfig.Config, q Query) (gtmember.Record, Reason, error) {
 	service, ok := cfg.Service(q.service)
 	if !ok {
@@ -131,20 +132,24 @@
 	if len(eligible) == 0 {
 		return gtmember.Record{}, Drawn, gtkind.New(gtkind.NoBackend, "service %q has no ready backend server", q.service)
 	}
-	versions := rt.versions(cfg, service, q)
-	for i, v := range versions {
-		list := ofVersion(eligible, v, moveTarget(cfg, service))
-		if len(list) == 0 {
-			continue
+	var firstErr error
+	for i, v := range rt.versions(cfg, service, q) {
+		r, err := rt.pickOf(ofVersion(eligible, v, moveTarget(cfg, service)), v, q)
+		if err == nil {
+			return r, q.reason(i), nil
+		}
+		if firstErr == nil {
+			firstErr = err
 		}
-		r, err := rt.pickOf(list, q)
-		return r, q.reason(i), err
 	}
-	return gtmember.Record{}, Drawn, gtkind.New(gtkind.NoBackend, "service %q has no ready backend server of version %q", q.service, versions[0])
+	return gtmember.Record{}, Drawn, firstErr
 }
 
 // pickOf returns the instance for a request among those of a version.
-func (rt *Router) pickOf(list []gtmember.Record, q Query) (gtmember.Record, error) {
+func (rt *Router) pickOf(list []gtmember.Record, version string, q Query) (gtmember.Record, error) {
+	if len(list) == 0 {
+		return gtmember.Record{}, gtkind.New(gtkind.NoBackend, "service %q has no ready backend server of version %q", q.service, version)
+	}
 	if q.key != "" {
 		return rt.keyOwner(list, q), nil
 	}
