gtnode, gthop: a halted or rolled back version runs nothing, whatever peers still send

What callers saw: failures of a version after its rollback, through nodes that heard of it late.

Cause: the node beside the server knew of the halt or rollback and ran the request; only the node that picks the server looked at the share.

Why it works: all requests to a backend server pass its node, which asks before admission and again before the request is sent; leaving is certainly not run and sent elsewhere, without the retry budget, and the attempt after it goes to the old version.

--- a/core/request/gtkind/kind.go
+++ b/core/request/gtkind/kind.go
@@ -40,7 +40,8 @@
 	// Full means that a limit is reached: the admission queue, the request rate
 	// during warm-up, the connections or the stored idempotency keys.
 	Full
-	// Leaving means that the instance is draining.
+	// Leaving means that the instance is draining, or that its version is halted or
+	// rolled back.
 	Leaving
 	// Down means that the local backend server of the node reached is down.
 	Down
--- a/io/request/gthop/handler_test.go
+++ b/io/request/gthop/handler_test.go
@@ -12,8 +12,11 @@
 	"godwittide/core/process/gtmember"
 	"godwittide/core/process/gttimer"
 	"godwittide/core/request/gtadmission"
+	"godwittide/core/request/gtcall"
 	"godwittide/core/request/gtdedup"
+	"godwittide/core/request/gtkind"
 	"godwittide/core/version/gtcanary"
+	"godwittide/core/version/gtconfig"
 	"godwittide/io/connection/gtpipe"
 	"godwittide/io/process/gttrace"
 	"godwittide/test/gtclock"
@@ -67,3 +70,32 @@
 		gomega.NewWithT(t).Expect(runsAfterPause(t, network)).To(gomega.BeZero())
 	})
 }
+
+// A call that may not run on the backend server's version must not reach it, also if it
+// waited for admission when that became known, and may be sent elsewhere.
+func TestCallThatMayNotRunDoesNotReachTheBackend(t *testing.T) {
+	gtclock.Run(t, func(t *testing.T, network *gtpipe.Network) {
+		g := gomega.NewWithT(t)
+		for _, allowedChecks := range []int64{0, 1} {
+			var runs, checks atomic.Int64
+			backend := serve(t, network, func(http.ResponseWriter, *http.Request) { runs.Add(1) })
+			b := &LocalBackend{
+				Now: time.Now, Self: func() gtmember.Record { return gtmember.NewRecord("i", "z", "", "").WithBackend("s", "2", 1) }, ReadyAt: time.Now,
+				Address: backend, MaxBufferBytes: 1000, Pool: newPool(t, network, false),
+				Gate: &gtadmission.Gate{Now: time.Now, Slots: 1}, Crashes: &gtdedup.Crashes{Now: time.Now}, Outcomes: &gtcanary.OutcomeCounter{},
+				Trace: (&gttrace.Tracer{}).Start,
+				MayRun: func(gtcall.Call) error {
+					if checks.Add(1) <= allowedChecks {
+						return nil
+					}
+					return gtkind.New(gtkind.Leaving, "rolled back")
+				},
+			}
+			c := gtcall.New("mine", "GET", "/x").WithDeadline(time.Now().Add(time.Second)).WithRoute("s", "r", gtconfig.Normal).WithIdempotent(true)
+			_, err := b.Run(t.Context(), c)
+			g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.Leaving))
+			g.Expect(runs.Load()).To(gomega.BeZero())
+			g.Expect(b.Gate.Load("r").Busy()).To(gomega.BeZero(), "the slot is free again")
+		}
+	})
+}
--- a/io/request/gthop/localbackend.go
+++ b/io/request/gthop/localbackend.go
@@ -50,6 +50,10 @@
 	OnCrash func(c gtdedup.Crash)
 	// CheckDown checks the backend server and reports whether it refuses connections.
 	CheckDown func(ctx context.Context) bool
+	// MayRun returns an error with a kind of certainty NotRun if the call may not run
+	// on the backend server's version. It is called before the call waits for admission
+	// and again before it is sent. Nil means that all calls may.
+	MayRun func(c gtcall.Call) error
 	// ReadyAt returns when the backend server last became ready.
 	ReadyAt func() time.Time
 	// OnResult is called after each call with its status, error and duration. It
@@ -173,6 +177,9 @@
 		settle(gtcall.Response{}, err)
 		return gtcall.Response{}, err
 	}
+	if err := b.checkMayRun(c); err != nil {
+		return reject(err)
+	}
 	ticket, err := b.Gate.Enter(c.Class(), c.Deadline())
 	if err != nil {
 		return reject(err)
@@ -185,7 +192,11 @@
 		cancel()
 		return reject(gtkind.New(gtkind.Expired, "deadline passed while the request waited in the admission queue"))
 	}
-	if err := checkCaller(ctx, c, b.Now()); err != nil {
+	err = checkCaller(ctx, c, b.Now())
+	if err == nil {
+		err = b.checkMayRun(c)
+	}
+	if err != nil {
 		ticket.Abandon()
 		cancel()
 		return reject(err)
@@ -195,6 +206,13 @@
 	return resp, err
 }
 
+func (b *LocalBackend) checkMayRun(c gtcall.Call) error {
+	if b.MayRun == nil {
+		return nil
+	}
+	return b.MayRun(c)
+}
+
 // forward sends the call to the backend server. It holds the ticket and the
 // context until the response body has been read or closed.
 func (b *LocalBackend) forward(ctx context.Context, c gtcall.Call, ticket *gtadmission.Ticket, cancel func()) (gtcall.Response, error) {
--- a/test/mesh/helpers_test.go
+++ b/test/mesh/helpers_test.go
@@ -11,6 +11,7 @@
 
 	"godwittide/io/process/gtcluster"
 	"godwittide/io/process/gtfake"
+	"godwittide/io/request/gthop"
 )
 
 // startServer serves h until the end of the spec and returns its URL.
@@ -38,6 +39,13 @@
 	return string(buf[:n])
 }
 
+// sendCall sends a call to a site as a peer would and returns the first bytes of the
+// response.
+func sendCall(s *gtcluster.Site) string {
+	call := fmt.Sprintf("raw/%s/800//normal/lending/holds/0/0", s.Instance())
+	return sendRaw(s.Settings().HopAddress(), "GET /lending/x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"+gthop.HeaderCall+": "+call+"\r\n\r\n")
+}
+
 // callNextService returns a function by which a backend server calls service n
 // through its local node. It forwards the deadline, hop, retry and trace headers
 // of the request that the backend server is handling. local is read at each call,
--- a/test/mesh/move_test.go
+++ b/test/mesh/move_test.go
@@ -102,6 +102,12 @@
 				for _, s := range newSites {
 					gomega.Expect(startedAfter(s, rolledBack.Add(rollbackLimit))).To(gomega.BeZero())
 				}
+				ginkgo.By("sending on a request as a peer that has not heard of the rollback")
+				for _, s := range newSites {
+					gomega.Expect(sendCall(s)).To(gomega.And(gomega.HavePrefix("HTTP/1.1 503"), gomega.ContainSubstring("/leaving")))
+					gomega.Expect(startedAfter(s, rolledBack.Add(rollbackLimit))).To(gomega.BeZero())
+				}
+				gomega.Expect(sendCall(oldSites[0])).To(gomega.HavePrefix("HTTP/1.1 200"))
 			})
 		}
 	})
