--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -278,7 +278,7 @@
 	n.retry = &gtretry.Policy{Now: now}
 	n.outcomes = &gtcanary.OutcomeCounter{}
 	n.outcomes.Restart(uint64(n.startTime.UnixMilli()))
-	n.router = &gtroute.Router{Now: now, Rand: rand.Float64, Zone: cfg.Node.Zone, Instances: n.table.ServiceMembers, MoveShare: n.moves.Share}
+	n.router = &gtroute.Router{Now: now, Rand: rand.Float64, Zone: cfg.Node.Zone, Instances: n.table.ServiceMembers, MoveShare: n.moves.Share, OnMovePick: n.countMovePick}
 	n.hopPool = &gtpool.Pool{Dial: n.dialNode, Now: now, SupportsPing: true, MaxConns: cfg.Backend.MaxConnections}
 	n.backendPool = &gtpool.Pool{
 		Dial: n.dialBackend, Now: now, MaxConns: cfg.Backend.MaxConnections, MaxReuseIdle: time.Duration(cfg.Backend.MaxReuseIdle), IsMismatched: n.IsMismatched,
@@ -287,7 +287,7 @@
 	n.localBackend = &gthop.LocalBackend{
 		Now: now, Self: n.table.Self, Address: cfg.Backend.Address, MaxBufferBytes: cfg.Limit.MaxBufferBytes, Pool: n.backendPool,
 		Gate: n.gate, Keys: n.dedup, Crashes: n.crashes, Outcomes: n.outcomes,
-		HistoryKnown: n.dedupHistoryKnown, OnCrash: n.announceCrash, CheckDown: n.probeDown, ReadyAt: n.backend.readyTime, Trace: n.tracer.Start,
+		HistoryKnown: n.dedupHistoryKnown, OnCrash: n.announceCrash, CheckDown: n.probeDown, MayRun: n.checkVersion, ReadyAt: n.backend.readyTime, Trace: n.tracer.Start,
 		Dialect: n.Dialect, OnResult: n.logBackendCall, OnOmitted: n.countOmitted,
 	}
 	n.hopHandler = &gthop.Handler{LocalBackend: n.localBackend, Timer: n.timer, MaxBodyBytes: cfg.Limit.MaxBodyBytes, OnPanic: n.recordPanic, PausedSince: n.timer.PausedSince, Requests: n.requests}
