--- a/io/process/gtsoak/site.go
+++ b/io/process/gtsoak/site.go
@@ -28,6 +28,8 @@
 // and the proxies in front of the node's hop and peer ports.
 type site struct {
 	name, zone   string
+	service      string
+	version      string
 	edgeURL      string
 	adminAddress string
 	settingsFile string
@@ -68,8 +70,8 @@
 	if err != nil {
 		return errorx.Decorate(err, "encode the list of peers")
 	}
-	text := fmt.Sprintf("[node]\ninstance = %q\nzone = %q\npeers = %s\n[listen]\nedge = %q\nhop = %q\npeer = %q\nadmin = %q\n[tell]\nhop = %q\npeer = %q\n[backend]\naddress = %q\nservice = \"lending\"\nversion = \"1\"\nslots = %d\nfixed = %t\n[store]\nendpoint = %q\n%s",
-		s.name, s.zone, list, edge, hop, peer, admin, s.hop.addr(), s.peer.addr(), backend, p.slots, p.fixedLimit, store, p.limitSettings)
+	text := fmt.Sprintf("[node]\ninstance = %q\nzone = %q\npeers = %s\n[listen]\nedge = %q\nhop = %q\npeer = %q\nadmin = %q\n[tell]\nhop = %q\npeer = %q\n[backend]\naddress = %q\nservice = %q\nversion = %q\nslots = %d\nfixed = %t\n[store]\nendpoint = %q\n%s",
+		s.name, s.zone, list, edge, hop, peer, admin, s.hop.addr(), s.peer.addr(), backend, s.service, s.version, p.slots, p.fixedLimit, store, p.limitSettings)
 	s.settingsFile, s.logFile = filepath.Join(dir, s.name+".toml"), filepath.Join(dir, s.name+".log")
 	if err := os.WriteFile(s.settingsFile, []byte(text), 0o600); err != nil {
 		return errorx.Decorate(err, "write the settings file of a node")
--- a/io/process/gtsoak/soak.go
+++ b/io/process/gtsoak/soak.go
@@ -155,7 +155,7 @@
 			return errorx.Decorate(err, "start a backend server")
 		}
 		zone := fmt.Sprintf("z%d", 1+i%3)
-		s := &site{name: fmt.Sprintf("lending-%s-%d", zone, i+1), zone: zone, command: r.soak.NodeCommand}
+		s := &site{name: fmt.Sprintf("lending-%s-%d", zone, i+1), zone: zone, service: "lending", version: "1", command: r.soak.NodeCommand}
 		s.onExitFailure = func(s *site, err error) {
 			r.reportViolation("node %s exited unexpectedly or failed to stop: %v; its log is %s", s.name, err, s.logFile)
 		}
