--- a/cmd/godwitstand/rollout.go
+++ b/cmd/godwitstand/rollout.go
@@ -63,7 +63,10 @@
 		return gtsoak.RolloutReport{}, errorx.Decorate(err, "create the folder of a run")
 	}
 	kinds, troubles := uint64(len(gtsoak.RolloutKinds)), uint64(len(gtsoak.RolloutTroubles))
-	rollout := &gtsoak.Rollout{NodeCommand: []string{c.Program, "node"}, Dir: dir, Seed: seed, Kind: c.Kind, Trouble: c.Trouble}
+	rollout := &gtsoak.Rollout{
+		NodeCommand: []string{c.Program, "node"}, Dir: dir, Seed: seed, Kind: c.Kind, Trouble: c.Trouble,
+		RolloutTime: gtsoak.RolloutTime, SteadyTime: gtsoak.SteadyTime,
+	}
 	if rollout.Kind == "" {
 		rollout.Kind = gtsoak.RolloutKinds[seed%kinds]
 	}
--- a/io/process/gtsoak/rollout.go
+++ b/io/process/gtsoak/rollout.go
@@ -19,16 +19,18 @@
 )
 
 const (
-	// rolloutTime is the time from the order of a rollout to its deadline. moveTime and
-	// moveWatchTime are what the platform's adapter makes of it.
-	rolloutTime   = 16 * time.Second
-	moveTime      = rolloutTime - moveWatchTime - time.Second
-	moveWatchTime = rolloutTime * 16 / 100
-	// steadyTime is the time under load before the order. The old version's backend
+	// RolloutTime is the usual time from the order of a rollout to its deadline.
+	RolloutTime = 16 * time.Second
+	// SteadyTime is the usual time under load before the order. The old version's backend
 	// servers have then run for longer than a node takes a new one to be cold.
-	steadyTime = 11 * time.Second
+	SteadyTime = 11 * time.Second
+	// moveWatchPercent, minMoveWatchTime and moveMargin define the move that the
+	// platform's adapter makes of a rollout.
+	moveWatchPercent = 16
+	minMoveWatchTime = 2 * time.Second
+	moveMargin       = time.Second
 	// afterTime is the time under load after the deadline.
-	afterTime = 2 * time.Second
+	afterTime = time.Second
 	// minRolloutRate and maxRolloutRate bound the rate of requests for the service.
 	minRolloutRate, maxRolloutRate = 60, 220
 
@@ -56,6 +58,9 @@
 	Seed uint64
 	// Kind is one of RolloutKinds. Trouble is one of RolloutTroubles.
 	Kind, Trouble string
+	// RolloutTime is the time from the order to the deadline, and SteadyTime the time
+	// under load before the order.
+	RolloutTime, SteadyTime time.Duration
 }
 
 // rolloutRun is the state of a running rollout.
@@ -110,7 +115,7 @@
 		return RolloutReport{}, err
 	}
 	r.startTraffic()
-	r.sleep(steadyTime)
+	r.sleep(o.SteadyTime)
 	if err := r.order(); err != nil {
 		return RolloutReport{}, err
 	}
@@ -119,7 +124,7 @@
 		own := rand.New(rand.NewPCG(r.rnd.Uint64(), r.rnd.Uint64()))
 		troubles.Go(func() { r.playTrouble(name, own) })
 	}
-	r.sleep(rolloutTime + afterTime)
+	r.sleep(o.RolloutTime + afterTime)
 	r.trafficEnded()
 	r.traffic.Wait()
 	troubles.Wait()
@@ -204,8 +209,8 @@
 
 // order pushes the move and starts the nodes and backend servers of the new version.
 func (r *rolloutRun) order() error {
-	files := r.files()
-	files["20.toml"] = fmt.Sprintf("[move.r1]\nservice = %q\nfrom = \"*\"\nto = %q\nwithin = %q\nwatch = %q\n", movedService, newVersion, moveTime, moveWatchTime)
+	files, watch := r.files(), max(r.rollout.RolloutTime*moveWatchPercent/100, minMoveWatchTime)
+	files["20.toml"] = fmt.Sprintf("[move.r1]\nservice = %q\nfrom = \"*\"\nto = %q\nwithin = %q\nwatch = %q\n", movedService, newVersion, r.rollout.RolloutTime-watch-moveMargin, watch)
 	var err error
 	if r.moveID, err = moveIDOf(files); err != nil {
 		return err
@@ -276,7 +281,7 @@
 
 // sampleMove polls the state of the move at all nodes until the end of the traffic.
 func (r *rolloutRun) sampleMove() {
-	for time.Since(r.orderedAt) < rolloutTime+afterTime && r.ctx.Err() == nil {
+	for time.Since(r.orderedAt) < r.rollout.RolloutTime+afterTime && r.ctx.Err() == nil {
 		var wg sync.WaitGroup
 		for _, s := range r.sites {
 			wg.Go(func() {
--- a/io/process/gtsoak/rolloutcheck.go
+++ b/io/process/gtsoak/rolloutcheck.go
@@ -66,7 +66,7 @@
 // check evaluates the run and writes its trace.
 func (r *rolloutRun) check() RolloutReport {
 	out := RolloutReport{Seed: r.rollout.Seed, Kind: r.rollout.Kind, Trouble: r.rollout.Trouble, Rate: r.rate}
-	deadline := r.orderedAt.Add(rolloutTime)
+	deadline := r.orderedAt.Add(r.rollout.RolloutTime)
 	requests := r.newRequests()
 	for _, b := range r.servers {
 		if b.site.service == movedService {
@@ -193,7 +193,7 @@
 // version, in touch, bad answers, and the states of the move that nodes have shown.
 func (r *rolloutRun) trace(requests []newRequest) string {
 	var text strings.Builder
-	for from := time.Duration(0); from < rolloutTime+afterTime; from += traceInterval {
+	for from := time.Duration(0); from < r.rollout.RolloutTime+afterTime; from += traceInterval {
 		start, end := r.orderedAt.Add(from), r.orderedAt.Add(from+traceInterval)
 		old, got, inTouch, bad := 0, 0, 0, 0
 		for _, s := range r.old {
--- a/io/process/gtsoak/rolloutplan.go
+++ b/io/process/gtsoak/rolloutplan.go
@@ -71,7 +71,7 @@
 		r.sleep(delay)
 		r.freezeTogether(r.drivers(), maxFreezeTime)
 	case "busy":
-		r.starve(rolloutTime)
+		r.starve(r.rollout.RolloutTime)
 	case "store slow":
 		r.sleep(delay)
 		r.injectStoreFault(fault{kind: name, duration: duration}, gtfake.StoreFaults{SlowMS: 400 + rnd.IntN(1600)})
@@ -101,7 +101,7 @@
 	for _, s := range nodes {
 		own := rand.New(rand.NewPCG(rnd.Uint64(), rnd.Uint64()))
 		wg.Go(func() {
-			for time.Since(r.orderedAt) < rolloutTime && r.ctx.Err() == nil {
+			for time.Since(r.orderedAt) < r.rollout.RolloutTime && r.ctx.Err() == nil {
 				r.sleep(time.Duration(own.Float64() * float64(maxFreezeTime)))
 				r.freezeTogether([]*site{s}, 300*time.Millisecond+time.Duration(own.Float64()*float64(maxFreezeTime-300*time.Millisecond)))
 			}
