--- a/io/process/gtsoak/rolloutplan.go
+++ b/io/process/gtsoak/rolloutplan.go
@@ -32,6 +32,7 @@
 // RolloutTroubles lists the troubles beside a rollout.
 var RolloutTroubles = []string{
 	"none", "turns", "drivers", "release", "freeze", "busy", "store slow", "store loses", "store down", "store slow+drivers", "freeze+turns", "busy+release", "drivers frozen",
+	"old together", "old together+store slow", "drivers+store down", "old together+busy",
 }
 
 const (
@@ -62,6 +63,9 @@
 	case "drivers":
 		r.sleep(delay)
 		r.restartInTurn(r.drivers(), 0)
+	case "old together":
+		r.sleep(delay)
+		r.restartInTurn(r.old, 0)
 	case "release":
 		r.sleep(delay)
 		r.restartInTurn(r.old, releaseInterval)
