gtnode: act on an alarm at once, and report a new version's responses by tens

A driver looked at its judge each 250 ms (300 on the timer's grid), and got reports as often: up to 0.6 s of bad answers that were evidence already.

--- a/core/version/gtcanary/counter.go
+++ b/core/version/gtcanary/counter.go
@@ -25,6 +25,7 @@
 import (
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"godwittide/core/process/gtshard"
@@ -36,6 +37,8 @@
 	LatencyBuckets = 96
 	firstBucket    = 200 * time.Microsecond
 	bucketGrowth   = 1.15
+	// BatchSize is the number of outcomes that are worth a report of their own.
+	BatchSize = 10
 	// MaxRoutes is the maximum number of routes that are counted by name.
 	MaxRoutes = 256
 )
@@ -160,8 +163,13 @@
 	return r.Total() > old.Total()
 }
 
-// OutcomeCounter counts outcomes, sharded by route.
+// OutcomeCounter counts outcomes, sharded by route. Its exported fields are set before
+// use.
 type OutcomeCounter struct {
+	// OnBatch is called after each BatchSize outcomes; nil means that nothing is done.
+	OnBatch func()
+
+	pending     atomic.Int64
 	counts      gtshard.Map[*Counts]
 	mu          sync.Mutex
 	routes      int
@@ -187,6 +195,9 @@
 			c.latencyCounts[Bucket(o.latency)]++
 		}
 	})
+	if oc.OnBatch != nil && oc.pending.Add(1)%BatchSize == 0 {
+		oc.OnBatch()
+	}
 }
 
 // admitRoute reports whether the route is counted under its own name. A route that
--- a/io/process/gtnode/drive.go
+++ b/io/process/gtnode/drive.go
@@ -16,45 +16,68 @@
 	// drivePeriod is the period at which outcome counts are reported and moves are
 	// evaluated.
 	drivePeriod = 250 * time.Millisecond
+	// minReportInterval is the minimum time between two reports of a busy instance of
+	// the new version, which doesn't wait for the period.
+	minReportInterval = 50 * time.Millisecond
 	// standbyDelay is the additional delay per rank before a driver writes a due
 	// change, so that normally only the first-ranked one writes it.
 	standbyDelay = 2 * time.Second
 )
 
 // driveMoves reports this node's outcome counts to the drivers of its service's
-// move, and drives the move if this node is one of them, until ctx ends.
+// move, and drives the move if this node is one of them, until ctx ends. An alarm, and
+// a batch of responses of the new version, don't wait for the next period.
 func (n *Node) driveMoves(ctx context.Context) {
 	ticker := n.timer.Every(drivePeriod, 0.1)
 	defer ticker.Stop()
 	var schedule gtcanary.ReportSchedule
 	var logged loggedMove
+	var lastReport time.Time
 	for {
+		due, batch := false, false
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C():
+			due = true
+		case <-n.judges.batches:
+			batch = n.timer.Time().Sub(lastReport) >= minReportInterval
+		case <-n.judges.raised:
 		}
-		cfg := n.holder.Current().Config()
-		active := map[string]bool{}
-		for _, m := range cfg.Moves() {
-			if s, ok := n.moves.State(m.ID()); !ok || s.Phase() < gtmove.Done {
-				active[m.ID()] = true
-			}
-		}
-		n.judges.prune(active)
-		m, ok := cfg.Move(n.Settings.Backend.Service)
-		if !ok || !active[m.ID()] {
+		m, ok := n.activeMove()
+		n.judges.reportsBatches.Store(ok && n.table.Self().Version() == m.To())
+		if !ok {
 			continue
 		}
 		drivers := n.drivers(m)
-		n.logMove(m, drivers, &logged)
-		n.sendReport(ctx, drivers, &schedule)
+		if due {
+			n.logMove(m, drivers, &logged)
+		}
+		if due || batch {
+			lastReport = n.timer.Time()
+			n.sendReport(ctx, drivers, &schedule)
+		}
 		if rank := rankOf(n.Settings.Node.Instance, drivers); rank >= 0 {
 			n.driveMove(ctx, m, rank)
 		}
 	}
 }
 
+// activeMove returns the move of the node's service, and whether there is one that has
+// not ended. It deletes the judges of all moves that have ended.
+func (n *Node) activeMove() (gtconfig.Move, bool) {
+	cfg := n.holder.Current().Config()
+	active := map[string]bool{}
+	for _, m := range cfg.Moves() {
+		if s, ok := n.moves.State(m.ID()); !ok || s.Phase() < gtmove.Done {
+			active[m.ID()] = true
+		}
+	}
+	n.judges.prune(active)
+	m, ok := cfg.Move(n.Settings.Backend.Service)
+	return m, ok && active[m.ID()]
+}
+
 // drivers returns the instances that collect the reports about a move and write
 // its state, by rank.
 func (n *Node) drivers(m gtconfig.Move) []gtmember.Record {
--- a/io/process/gtnode/judges.go
+++ b/io/process/gtnode/judges.go
@@ -21,6 +21,15 @@
 // the outcomes that this node observes itself.
 type judges struct {
 	now func() time.Time
+	// raised receives a value when a report makes a pooled judge raise its alarm. It
+	// holds one value.
+	raised chan struct{}
+	// batches receives a value when the local backend server has given a batch of
+	// responses. It holds one value.
+	batches chan struct{}
+	// reportsBatches is true while the local backend server runs the new version of an
+	// active move.
+	reportsBatches atomic.Bool
 
 	mu     sync.Mutex
 	pooled map[string]*pooledJudge
@@ -58,7 +67,27 @@
 		j.latest[r.Instance()] = timedReport{r, j.now()}
 	}
 	for _, p := range j.pooled {
+		_, before := p.judge.Alarm()
 		p.judge.AddReport(r)
+		if _, after := p.judge.Alarm(); after && !before {
+			signal(j.raised)
+		}
+	}
+}
+
+// requestReport asks for a report of the local backend server's outcomes, if it runs the
+// new version of an active move.
+func (j *judges) requestReport() {
+	if j.reportsBatches.Load() {
+		signal(j.batches)
+	}
+}
+
+// signal sends a value to a channel unless that is full.
+func signal(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
 	}
 }
 
--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -250,7 +250,8 @@
 		WithIncarnation(uint64(n.startTime.UnixMilli()))
 	n.table.SetSelf(self)
 	n.downDamper.Now = now
-	n.judges = judges{now: now}
+	n.judges.now = now
+	n.judges.raised, n.judges.batches = make(chan struct{}, 1), make(chan struct{}, 1)
 }
 
 func (n *Node) buildConfigStore() {
@@ -273,7 +274,7 @@
 	n.dedup = &gtdedup.Keys{Now: now}
 	split := &gtsplit.Split{Rand: rand.Float64}
 	n.retry = &gtretry.Policy{Now: now}
-	n.outcomes = &gtcanary.OutcomeCounter{}
+	n.outcomes = &gtcanary.OutcomeCounter{OnBatch: n.judges.requestReport}
 	n.outcomes.Restart(uint64(n.startTime.UnixMilli()))
 	n.router = &gtroute.Router{Now: now, Rand: rand.Float64, Zone: cfg.Node.Zone, Instances: n.table.ServiceMembers, MoveShare: n.moves.Share}
 	n.hopPool = &gtpool.Pool{Dial: n.dialNode, Now: now, SupportsPing: true, MaxConns: cfg.Backend.MaxConnections}
