--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -288,6 +288,9 @@
 		HistoryKnown: n.dedupHistoryKnown, OnCrash: n.announceCrash, CheckDown: n.probeDown, ReadyAt: n.backend.readyTime, Trace: n.tracer.Start,
 		Dialect: n.Dialect, OnResult: n.logBackendCall, OnOmitted: n.countOmitted,
 	}
+	if n.Heartbeats != nil {
+		n.localBackend.WarmUpEnd = n.backend.warmUpEndTime
+	}
 	n.hopHandler = &gthop.Handler{LocalBackend: n.localBackend, Timer: n.timer, MaxBodyBytes: cfg.Limit.MaxBodyBytes, OnPanic: n.recordPanic, PausedSince: n.timer.PausedSince}
 	client := &gthop.Client{Now: now, Pool: n.hopPool, Dialect: n.Dialect, MaxBufferBytes: cfg.Limit.MaxBufferBytes, Trace: n.tracer.Start}
 	n.edge = &gtedge.Edge{
--- a/io/request/gthop/localbackend.go
+++ b/io/request/gthop/localbackend.go
@@ -14,8 +14,8 @@
 	"godwittide/io/connection/gtpool"
 )
 
-// warmUpPeriod is how long after a start of the backend server its latency is
-// not used as evidence about its version.
+// warmUpPeriod is how long after a start of the backend server its latency is not used
+// as evidence about its version, if the backend server doesn't report its warm-up.
 const warmUpPeriod = 10 * time.Second
 
 // LocalBackend runs calls on the local backend server. All requests to that
@@ -55,6 +55,9 @@
 	CheckDown func(ctx context.Context) bool
 	// ReadyAt returns when the backend server last became ready.
 	ReadyAt func() time.Time
+	// WarmUpEnd returns until when the backend server is warming up, as it reports; nil
+	// means that it doesn't report it.
+	WarmUpEnd func() time.Time
 	// OnResult is called after each call with its status, error and duration. It
 	// may be nil.
 	OnResult func(c gtcall.Call, status int, err error, d time.Duration)
@@ -215,7 +218,7 @@
 	finish := func(err error) {
 		latency := b.Now().Sub(start)
 		ticket.Done(c.Route(), latency, admissionResult(status, err))
-		b.recordEvidence(c, status, latency, err)
+		b.recordEvidence(c, status, start, latency, err)
 		end(err)
 		cancel()
 	}
@@ -293,7 +296,7 @@
 
 // recordEvidence records the outcome as evidence about the version, unless the
 // caller caused it or the backend server did not run the request.
-func (b *LocalBackend) recordEvidence(c gtcall.Call, status int, latency time.Duration, err error) {
+func (b *LocalBackend) recordEvidence(c gtcall.Call, status int, start time.Time, latency time.Duration, err error) {
 	switch k := gtkind.Of(err); k {
 	case gtkind.Canceled, gtkind.BadRequest, gtkind.Down, gtkind.NotExecuted:
 		b.omit(k.String())
@@ -301,13 +304,21 @@
 	default:
 	}
 	o := gtcanary.NewOutcome(err != nil || isServerError(status), latency)
-	if b.Now().Sub(b.ReadyAt()) < warmUpPeriod {
+	if start.Before(b.warmUpEnd()) {
 		b.omit("warming up")
 		o = o.WithoutLatency()
 	}
 	b.Outcomes.Add(c.Route(), o)
 }
 
+// warmUpEnd returns the time before which latencies are not evidence about the version.
+func (b *LocalBackend) warmUpEnd() time.Time {
+	if b.WarmUpEnd != nil {
+		return b.WarmUpEnd()
+	}
+	return b.ReadyAt().Add(warmUpPeriod)
+}
+
 // omit reports why an outcome or its latency is not counted.
 func (b *LocalBackend) omit(reason string) {
 	if b.OnOmitted != nil {
