gtnode: a frozen driver holds up no report to the others

Reports went out one driver after the other, in the loop that also judges. Without an open link, a frozen driver costs 1 s for the dial and 3 s for the hello each time; the second and third driver, which get each fourth report, would have judged 12 s late, so that a version that is slow only went on.

Each driver has at most one report under way, in a thread of its own.

--- a/io/process/gtnode/drive.go
+++ b/io/process/gtnode/drive.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"godwittide/core/process/gtmember"
 	"godwittide/core/process/gtrank"
-	"godwittide/core/version/gtcanary"
 	"godwittide/core/version/gtconfig"
 	"godwittide/core/version/gtmove"
 )
@@ -30,7 +28,6 @@
 func (n *Node) driveMoves(ctx context.Context) {
 	ticker := n.timer.Every(drivePeriod, 0.1)
 	defer ticker.Stop()
-	var schedule gtcanary.ReportSchedule
 	var logged loggedMove
 	var lastReport time.Time
 	for {
@@ -55,7 +52,7 @@
 		}
 		if due || batch {
 			lastReport = n.timer.Time()
-			n.sendReport(ctx, drivers, &schedule)
+			n.sendReport(ctx, drivers)
 		}
 		if rank := rankOf(n.Settings.Node.Instance, drivers); rank >= 0 {
 			n.driveMove(ctx, m, rank)
@@ -97,27 +94,10 @@
 	return -1
 }
 
-// sendReport sends the node's outcome counts to the drivers that are due for them. A
-// failed report is sent again in the driver's next round.
-func (n *Node) sendReport(ctx context.Context, drivers []gtmember.Record, schedule *gtcanary.ReportSchedule) {
+// sendReport sends the node's outcome counts to the drivers that are due for them.
+func (n *Node) sendReport(ctx context.Context, drivers []gtmember.Record) {
 	self := n.table.Self()
-	r := n.outcomes.Report(self.Instance(), self.Version())
-	names := make([]string, len(drivers))
-	for i, d := range drivers {
-		names[i] = d.Instance()
-	}
-	schedule.Keep(names)
-	due := schedule.Due(names, r)
-	for i, to := range drivers {
-		if !slices.Contains(due, names[i]) {
-			continue
-		}
-		if err := n.overlay.SendReport(ctx, to, r); err != nil {
-			n.Log.Debug().Err(err).Str("driver", to.Instance()).Msg("move: sending the report to a driver failed")
-			continue
-		}
-		schedule.Sent(names[i], r)
-	}
+	n.reporter.report(ctx, drivers, n.outcomes.Report(self.Instance(), self.Version()))
 }
 
 // driveMove evaluates a move and has its next state written, if a change is due. A
--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -126,6 +126,7 @@
 	edge         *gtedge.Edge
 
 	judges         judges
+	reporter       reporter
 	omissions      omissions
 	servers        servers
 	backend        backendState
@@ -309,6 +310,7 @@
 		Table: n.table, Holder: n.holder, Moves: n.moves, Crashes: n.crashes,
 		Install: n.installVersion, OnReport: n.judges.addReport, OnHalt: n.logHalt,
 	}
+	n.reporter.log, n.reporter.send, n.reporter.spawn = n.Log, n.overlay.SendReport, n.wg.Go
 	if n.Heartbeats != nil {
 		n.overlay.OnDeparted = n.handleDeparted
 	}
