gtmove, gtnode: raise the share on evidence only, not on silence

A version of which nothing was known got all requests by the end of its move.

A request counts for a step if it failed or its latency was compared. Ruled out: standby drivers that step too early, as they wait 2 s a rank.

--- a/core/version/gtcanary/judge.go
+++ b/core/version/gtcanary/judge.go
@@ -112,6 +112,7 @@
 	lastDecay    time.Time
 	alarm        *Alarm
 	stepRequests uint64
+	stepCompared uint64
 	alarmLevel   float64
 }
 
@@ -215,7 +216,7 @@
 	if rs.failures.add(c.failed, c.total, baseline) > j.Threshold {
 		j.raise(Alarm{route: route, metric: "failures", rate: ratio(float64(rs.newFailed), float64(rs.newTotal)), baseline: ratio(rs.baselineFailed, rs.baselineTotal), requests: rs.newTotal, counts: rs.counts()})
 	}
-	j.testSlowness(route, rs, c)
+	j.stepCompared += c.failed + j.testSlowness(route, rs, c)
 }
 
 func (rs *routeStats) addBaseline(c Counts) {
@@ -227,11 +228,11 @@
 }
 
 // testSlowness tests the latencies in c, counted for the new version, against the
-// baseline.
-func (j *Judge) testSlowness(route string, rs *routeStats, c Counts) {
+// baseline, and returns how many were tested.
+func (j *Judge) testSlowness(route string, rs *routeStats, c Counts) uint64 {
 	firstSlow, baselineTimed := rs.slowBucket()
 	if baselineTimed < minSlowSamples {
-		return
+		return 0
 	}
 	slow, total := countSlow(c.latencyCounts, firstSlow)
 	rs.newTimed += total
@@ -244,6 +245,7 @@
 	if slowWeight*rs.slowness.add(slow, total, baseline) > j.Threshold {
 		j.raise(Alarm{route: route, metric: "slow answers", rate: ratio(float64(rs.newSlow), float64(rs.newTimed)), baseline: ratio(baselineSlow, baselineTimed), requests: rs.newTimed, counts: rs.counts()})
 	}
+	return total
 }
 
 // slowBucket returns the index of the first latency bucket that counts as slow,
@@ -348,11 +350,11 @@
 	return j.alarmLevel
 }
 
-// StartStep resets the number of requests that StepRequests returns.
+// StartStep resets the numbers that StepRequests and StepCompared return.
 func (j *Judge) StartStep() {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.stepRequests = 0
+	j.stepRequests, j.stepCompared = 0, 0
 }
 
 // StepRequests returns the number of requests that the new version has finished
@@ -363,6 +365,14 @@
 	return j.stepRequests
 }
 
+// StepCompared returns the number of requests of the new version since the last
+// StartStep that have failed, or whose latency was compared with the old version's.
+func (j *Judge) StepCompared() uint64 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.stepCompared
+}
+
 // HasTraffic reports whether either version has had a request on any route.
 func (j *Judge) HasTraffic() bool {
 	j.mu.Lock()
--- a/core/version/gtcanary/judge_test.go
+++ b/core/version/gtcanary/judge_test.go
@@ -152,3 +152,22 @@
 	j.AddReport(report(25))
 	g.Expect(j.StepRequests()).To(gomega.Equal(uint64(30)), "a report from before the restart")
 }
+
+// Responses without a latency, and those with none to compare with, say nothing about
+// slowness: they must not count as evidence for a step.
+func TestUntimedResponsesAreNoEvidenceForAStep(t *testing.T) {
+	g := gomega.NewWithT(t)
+	j := &Judge{Now: func() time.Time { return time.Unix(1000, 0) }, From: "1", To: "2", Threshold: PooledThreshold}
+	fast := NewOutcome(false, time.Millisecond)
+	j.AddOutcome("r", "2", fast)
+	for range 100 {
+		j.AddOutcome("r", "1", fast)
+		j.AddOutcome("r", "2", fast.WithoutLatency())
+	}
+	g.Expect(j.StepCompared()).To(gomega.BeZero())
+	j.AddOutcome("r", "2", fast)
+	j.AddOutcome("r", "2", NewOutcome(true, time.Millisecond))
+	g.Expect(j.StepCompared()).To(gomega.Equal(uint64(2)))
+	j.StartStep()
+	g.Expect(j.StepCompared()).To(gomega.BeZero())
+}
--- a/core/version/gtmove/move.go
+++ b/core/version/gtmove/move.go
@@ -126,6 +126,7 @@
 	hasTraffic   bool
 	newReady     int
 	oldReady     int
+	doubt        string
 }
 
 // NewFindings returns findings with these fields:
@@ -133,8 +134,8 @@
 //     none.
 //   - alarmLevel is how near the evidence is to an alarm: 0 is not at all, above 1
 //     is an alarm.
-//   - stepRequests is the number of requests that the new version has finished
-//     since the last step.
+//   - stepRequests is the number of requests of the new version since the last step
+//     that are evidence.
 //   - hasTraffic tells whether either version has had a request.
 //   - newReady and oldReady are the numbers of ready backend servers of the new and
 //     the old version.
@@ -142,14 +143,24 @@
 	return Findings{alarm: alarm, alarmLevel: alarmLevel, stepRequests: stepRequests, hasTraffic: hasTraffic, newReady: newReady, oldReady: oldReady}
 }
 
+// WithDoubt returns a copy with a reason for which the evidence is incomplete. The
+// share is then not raised.
+func (f Findings) WithDoubt(reason string) Findings {
+	f.doubt = reason
+	return f
+}
+
+// Doubt returns the reason for which the evidence is incomplete, or "".
+func (f Findings) Doubt() string { return f.doubt }
+
 const (
 	// MinStepInterval is the minimum time between two steps.
 	MinStepInterval = time.Second
 	// MaxStepInterval is the time after which sufficient evidence allows the
 	// next step, however far off the move's deadline is.
 	MaxStepInterval = time.Minute
-	// MinStepRequests is the number of requests that the new version must have
-	// finished since the last step to allow the next.
+	// MinStepRequests is the number of requests since the last step that must be
+	// evidence about the new version to allow the next.
 	MinStepRequests = 50
 	// MinOverdueRequests replaces MinStepRequests for a step that is overdue,
 	// which means that twice its planned interval has passed.
@@ -232,10 +243,10 @@
 }
 
 // stepUp raises the new version's share by one step and reports whether it did.
-// The step must be due, the evidence must suffice, and the new version must have
-// a ready backend server. A service without traffic needs no finished requests.
+// The step must be due, the evidence must suffice and be complete, and the new version
+// must have a ready backend server. A service without traffic needs no finished requests.
 func (s State) stepUp(m gtconfig.Move, f Findings, now time.Time) (State, bool) {
-	if f.newReady == 0 {
+	if f.newReady == 0 || f.doubt != "" {
 		return s, false
 	}
 	interval := stepInterval(s, m)
--- a/core/version/gtmove/move_test.go
+++ b/core/version/gtmove/move_test.go
@@ -296,3 +296,16 @@
 	_, changed := Advance(s, m, NewFindings("", 0, 1000, true, 0, 4), now.Add(time.Hour))
 	g.Expect(changed).To(gomega.BeFalse())
 }
+
+// The share was raised while reports were missing: silence was taken for health.
+func TestShareIsNotRaisedOnIncompleteEvidence(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := testMove(t)
+	now := time.Unix(10000, 0)
+	s := InitialState(m, nil, now)
+	f := NewFindings("", 0, 1000, true, 4, 4)
+	_, changed := Advance(s, m, f.WithDoubt("no report of i-1"), now.Add(time.Hour))
+	g.Expect(changed).To(gomega.BeFalse())
+	_, changed = Advance(s, m, f, now.Add(time.Hour))
+	g.Expect(changed).To(gomega.BeTrue())
+}
--- a/io/process/gtnode/drive.go
+++ b/io/process/gtnode/drive.go
@@ -177,7 +177,42 @@
 	if h, ok := n.moves.Halt(m.ID()); ok {
 		reason = "found by " + h.By() + ": " + h.Reason()
 	}
-	return gtmove.Advance(state, m, gtmove.NewFindings(reason, p.judge.AlarmLevel(), p.judge.StepRequests(), p.judge.HasTraffic(), newReady, oldReady), now)
+	doubt := n.doubt(m, p)
+	compared := p.judge.StepCompared()
+	if oldReady == 0 {
+		compared = p.judge.StepRequests()
+	}
+	f := gtmove.NewFindings(reason, p.judge.AlarmLevel(), compared, p.judge.HasTraffic(), newReady, oldReady).WithDoubt(doubt)
+	return gtmove.Advance(state, m, f, now)
+}
+
+// doubt returns why the evidence of a move is incomplete, or "". Once it is complete for
+// the first time, the step is counted anew: the first reports hold what came before.
+func (n *Node) doubt(m gtconfig.Move, p *pooledJudge) string {
+	doubt := ""
+	if instance := n.judges.silent(n.readyInstances(m, m.To()), m.To()); instance != "" {
+		doubt = "no recent report of " + instance
+	}
+	if doubt == "" && !p.complete {
+		p.complete = true
+		p.judge.StartStep()
+	}
+	if doubt != p.doubt {
+		p.doubt = doubt
+		n.Log.Info().Str("move", m.Name()).Str("reason", doubt).Msg("move: evidence")
+	}
+	return doubt
+}
+
+// readyInstances returns the ready instances of a move's service that run a version.
+func (n *Node) readyInstances(m gtconfig.Move, version string) []string {
+	var names []string
+	for _, r := range n.table.ServiceMembers(m.Service()) {
+		if r.State() == gtmember.Ready && r.Version() == version {
+			names = append(names, r.Instance())
+		}
+	}
+	return names
 }
 
 // countReadyInstances returns the number of ready instances of the new version of a
--- a/io/process/gtnode/judges.go
+++ b/io/process/gtnode/judges.go
@@ -40,11 +40,14 @@
 // pooledJudge is the judge of one move that this node may drive. Its seq is the
 // sequence number of the move's state at the last evaluation, changeDueSince the time
 // since which a change of the state is due, or zero, and writing is true during a write.
+// It is complete once it has had the reports of all instances of the new version.
 type pooledJudge struct {
 	judge          *gtcanary.Judge
 	seq            int64
 	changeDueSince time.Time
 	alarmLogged    bool
+	complete       bool
+	doubt          string
 	writing        atomic.Bool
 }
 
@@ -63,7 +66,9 @@
 	if j.latest == nil {
 		j.latest = map[string]timedReport{}
 	}
-	if _, known := j.latest[r.Instance()]; known || len(j.latest) < maxReports {
+	if last, known := j.latest[r.Instance()]; known && last.report.StartMillis() > r.StartMillis() {
+		return
+	} else if known || len(j.latest) < maxReports {
 		j.latest[r.Instance()] = timedReport{r, j.now()}
 	}
 	for _, p := range j.pooled {
@@ -106,6 +111,21 @@
 	return reported, oldest
 }
 
+// silent returns the first of the instances without a report of the version that is at
+// most maxReportAge old, or "".
+func (j *judges) silent(instances []string, version string) string {
+	now := j.now()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, instance := range instances {
+		last, ok := j.latest[instance]
+		if !ok || last.report.Version() != version || now.Sub(last.at) > maxReportAge {
+			return instance
+		}
+	}
+	return ""
+}
+
 // pooledJudge returns the pooled judge of a move, and creates it if necessary.
 func (j *judges) pooledJudge(m gtconfig.Move) *pooledJudge {
 	j.mu.Lock()
--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -310,7 +310,7 @@
 		Table: n.table, Holder: n.holder, Moves: n.moves, Crashes: n.crashes,
 		Install: n.installVersion, OnReport: n.judges.addReport, OnHalt: n.logHalt,
 	}
-	n.reporter.log, n.reporter.send, n.reporter.spawn = n.Log, n.overlay.SendReport, n.wg.Go
+	n.reporter.log, n.reporter.now, n.reporter.send, n.reporter.spawn = n.Log, n.timer.Time, n.overlay.SendReport, n.wg.Go
 	if n.Heartbeats != nil {
 		n.overlay.OnDeparted = n.handleDeparted
 	}
--- a/io/process/gtnode/reporter_test.go
+++ b/io/process/gtnode/reporter_test.go
@@ -46,7 +46,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
 		sent := &sentReports{frozen: "a", last: map[string]uint64{}}
-		rp := &reporter{send: sent.send, spawn: func(fn func()) { go fn() }}
+		rp := &reporter{now: time.Now, send: sent.send, spawn: func(fn func()) { go fn() }}
 		var drivers []gtmember.Record
 		for _, name := range []string{"a", "b", "c"} {
 			drivers = append(drivers, gtmember.NewRecord(name, "z", "", ""))
