--- a/io/process/gtnode/drive.go
+++ b/io/process/gtnode/drive.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"godwittide/core/process/gtmember"
 	"godwittide/core/process/gtrank"
-	"godwittide/core/version/gtcanary"
 	"godwittide/core/version/gtconfig"
 	"godwittide/core/version/gtmove"
 )
@@ -16,45 +14,67 @@
 	// drivePeriod is the period at which outcome counts are reported and moves are
 	// evaluated.
 	drivePeriod = 250 * time.Millisecond
+	// minReportInterval is the minimum time between two reports of a busy instance of
+	// the new version, which doesn't wait for the period.
+	minReportInterval = 50 * time.Millisecond
 	// standbyDelay is the additional delay per rank before a driver writes a due
 	// change, so that normally only the first-ranked one writes it.
 	standbyDelay = 2 * time.Second
 )
 
 // driveMoves reports this node's outcome counts to the drivers of its service's
-// move, and drives the move if this node is one of them, until ctx ends.
+// move, and drives the move if this node is one of them, until ctx ends. An alarm, and
+// a batch of responses of the new version, don't wait for the next period.
 func (n *Node) driveMoves(ctx context.Context) {
 	ticker := n.timer.Every(drivePeriod, 0.1)
 	defer ticker.Stop()
-	var schedule gtcanary.ReportSchedule
 	var logged loggedMove
+	var lastReport time.Time
 	for {
+		due, batch := false, false
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C():
+			due = true
+		case <-n.judges.batches:
+			batch = n.timer.Time().Sub(lastReport) >= minReportInterval
+		case <-n.judges.raised:
 		}
-		cfg := n.holder.Current().Config()
-		active := map[string]bool{}
-		for _, m := range cfg.Moves() {
-			if s, ok := n.moves.State(m.ID()); !ok || s.Phase() < gtmove.Done {
-				active[m.ID()] = true
-			}
-		}
-		n.judges.prune(active)
-		m, ok := cfg.Move(n.Settings.Backend.Service)
-		if !ok || !active[m.ID()] {
+		m, ok := n.activeMove()
+		n.judges.reportsBatches.Store(ok && n.table.Self().Version() == m.To())
+		if !ok {
 			continue
 		}
 		drivers := n.drivers(m)
-		n.logMove(m, drivers, &logged)
-		n.sendReport(ctx, drivers, &schedule)
+		if due {
+			n.logMove(m, drivers, &logged)
+		}
+		if due || batch {
+			lastReport = n.timer.Time()
+			n.sendReport(ctx, drivers)
+		}
 		if rank := rankOf(n.Settings.Node.Instance, drivers); rank >= 0 {
 			n.driveMove(ctx, m, rank)
 		}
 	}
 }
 
+// activeMove returns the move of the node's service, and whether there is one that has
+// not ended. It deletes the judges of all moves that have ended.
+func (n *Node) activeMove() (gtconfig.Move, bool) {
+	cfg := n.holder.Current().Config()
+	active := map[string]bool{}
+	for _, m := range cfg.Moves() {
+		if s, ok := n.moves.State(m.ID()); !ok || s.Phase() < gtmove.Done {
+			active[m.ID()] = true
+		}
+	}
+	n.judges.prune(active)
+	m, ok := cfg.Move(n.Settings.Backend.Service)
+	return m, ok && active[m.ID()]
+}
+
 // drivers returns the instances that collect the reports about a move and write
 // its state, by rank.
 func (n *Node) drivers(m gtconfig.Move) []gtmember.Record {
@@ -74,27 +94,10 @@
 	return -1
 }
 
-// sendReport sends the node's outcome counts to the drivers that are due for them. A
-// failed report is sent again in the driver's next round.
-func (n *Node) sendReport(ctx context.Context, drivers []gtmember.Record, schedule *gtcanary.ReportSchedule) {
+// sendReport sends the node's outcome counts to the drivers that are due for them.
+func (n *Node) sendReport(ctx context.Context, drivers []gtmember.Record) {
 	self := n.table.Self()
-	r := n.outcomes.Report(self.Instance(), self.Version())
-	names := make([]string, len(drivers))
-	for i, d := range drivers {
-		names[i] = d.Instance()
-	}
-	schedule.Keep(names)
-	due := schedule.Due(names, r)
-	for i, to := range drivers {
-		if !slices.Contains(due, names[i]) {
-			continue
-		}
-		if err := n.overlay.SendReport(ctx, to, r); err != nil {
-			n.Log.Debug().Err(err).Str("driver", to.Instance()).Msg("move: sending the report to a driver failed")
-			continue
-		}
-		schedule.Sent(names[i], r)
-	}
+	n.reporter.report(ctx, drivers, n.outcomes.Report(self.Instance(), self.Version()))
 }
 
 // driveMove evaluates a move and has its next state written, if a change is due. A
@@ -174,7 +177,42 @@
 	if h, ok := n.moves.Halt(m.ID()); ok {
 		reason = "found by " + h.By() + ": " + h.Reason()
 	}
-	return gtmove.Advance(state, m, gtmove.NewFindings(reason, p.judge.AlarmLevel(), p.judge.StepRequests(), p.judge.HasTraffic(), newReady, oldReady), now)
+	doubt := n.doubt(m, p)
+	compared := p.judge.StepCompared()
+	if oldReady == 0 {
+		compared = p.judge.StepRequests()
+	}
+	f := gtmove.NewFindings(reason, p.judge.AlarmLevel(), compared, p.judge.HasTraffic(), newReady, oldReady).WithDoubt(doubt)
+	return gtmove.Advance(state, m, f, now)
+}
+
+// doubt returns why the evidence of a move is incomplete, or "". Once it is complete for
+// the first time, the step is counted anew: the first reports hold what came before.
+func (n *Node) doubt(m gtconfig.Move, p *pooledJudge) string {
+	doubt := ""
+	if instance := n.judges.silent(n.readyInstances(m, m.To()), m.To()); instance != "" {
+		doubt = "no recent report of " + instance
+	}
+	if doubt == "" && !p.complete {
+		p.complete = true
+		p.judge.StartStep()
+	}
+	if doubt != p.doubt {
+		p.doubt = doubt
+		n.Log.Info().Str("move", m.Name()).Str("reason", doubt).Msg("move: evidence")
+	}
+	return doubt
+}
+
+// readyInstances returns the ready instances of a move's service that run a version.
+func (n *Node) readyInstances(m gtconfig.Move, version string) []string {
+	var names []string
+	for _, r := range n.table.ServiceMembers(m.Service()) {
+		if r.State() == gtmember.Ready && r.Version() == version {
+			names = append(names, r.Instance())
+		}
+	}
+	return names
 }
 
 // countReadyInstances returns the number of ready instances of the new version of a
--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -128,6 +128,7 @@
 	edge         *gtedge.Edge
 
 	judges         judges
+	reporter       reporter
 	omissions      omissions
 	servers        servers
 	backend        backendState
@@ -252,7 +253,8 @@
 		WithIncarnation(uint64(n.startTime.UnixMilli()))
 	n.table.SetSelf(self)
 	n.downDamper.Now = now
-	n.judges = judges{now: now}
+	n.judges.now = now
+	n.judges.raised, n.judges.batches = make(chan struct{}, 1), make(chan struct{}, 1)
 }
 
 func (n *Node) buildConfigStore() {
@@ -276,7 +278,7 @@
 	n.dedup = &gtdedup.Keys{Now: now}
 	split := &gtsplit.Split{Rand: rand.Float64}
 	n.retry = &gtretry.Policy{Now: now}
-	n.outcomes = &gtcanary.OutcomeCounter{}
+	n.outcomes = &gtcanary.OutcomeCounter{OnBatch: n.judges.requestReport}
 	n.outcomes.Restart(uint64(n.startTime.UnixMilli()))
 	n.router = &gtroute.Router{Now: now, Rand: rand.Float64, Zone: cfg.Node.Zone, Instances: n.table.ServiceMembers, MoveShare: n.moves.Share, OnMovePick: n.countMovePick}
 	n.hopPool = &gtpool.Pool{Dial: n.dialNode, Now: now, SupportsPing: true, MaxConns: cfg.Backend.MaxConnections}
@@ -290,6 +292,9 @@
 		HistoryKnown: n.dedupHistoryKnown, OnCrash: n.announceCrash, CheckDown: n.probeDown, MayRun: n.checkVersion, ReadyAt: n.backend.readyTime, Trace: n.tracer.Start,
 		Dialect: n.Dialect, OnResult: n.logBackendCall, OnOmitted: n.countOmitted,
 	}
+	if n.Heartbeats != nil {
+		n.localBackend.WarmUpEnd = n.backend.warmUpEndTime
+	}
 	n.hopHandler = &gthop.Handler{LocalBackend: n.localBackend, Timer: n.timer, MaxBodyBytes: cfg.Limit.MaxBodyBytes, OnPanic: n.recordPanic, PausedSince: n.timer.PausedSince, Requests: n.requests}
 	client := &gthop.Client{Now: now, Pool: n.hopPool, Dialect: n.Dialect, MaxBufferBytes: cfg.Limit.MaxBufferBytes, Trace: n.tracer.Start}
 	n.edge = &gtedge.Edge{
@@ -308,6 +313,7 @@
 		Table: n.table, Holder: n.holder, Moves: n.moves, Crashes: n.crashes,
 		Install: n.installVersion, OnReport: n.judges.addReport, OnHalt: n.logHalt,
 	}
+	n.reporter.log, n.reporter.now, n.reporter.send, n.reporter.spawn = n.Log, n.timer.Time, n.overlay.SendReport, n.wg.Go
 	if n.Heartbeats != nil {
 		n.overlay.OnDeparted = n.handleDeparted
 	}
