gtnode, gthop, gtedge: what was picked for the old version doesn't run on the new one

What callers saw: nothing that is known; found by reading. A peer whose record of a backend server is outdated sends a request drawn for the old version to a server that has the new one since, beyond the share.

Cause: a call named instance and service, both of which outlive a version.

Evidence: test/mesh 'to a bad version is rolled back' sends such a call; without the check the backend server answered 200, with it 503 refused.

Ruled out: a restart of the node; its peers see the links end.

Why it works: in a move the call carries the version that was picked, in a field of its own that older nodes ignore, and the node beside the server compares it with its server's, as it does with instance and service.

--- a/core/request/gtcall/call.go
+++ b/core/request/gtcall/call.go
@@ -31,6 +31,7 @@
 	body          []byte
 	service       string
 	route         string
+	version       string
 	class         gtconfig.Class
 	idempotent    bool
 	key           string
@@ -71,6 +72,10 @@
 // Route returns the name of the route.
 func (c Call) Route() string { return c.route }
 
+// Version returns the version of the backend server that was picked in a move, or ""
+// if any may run the call.
+func (c Call) Version() string { return c.version }
+
 // Class returns the class by which the admission gate treats the call.
 func (c Call) Class() gtconfig.Class { return c.class }
 
@@ -130,6 +135,12 @@
 	return c
 }
 
+// WithVersion returns a copy with the version of the backend server that was picked.
+func (c Call) WithVersion(version string) Call {
+	c.version = version
+	return c
+}
+
 // WithIdempotent returns a copy that is marked as idempotent or non-idempotent.
 func (c Call) WithIdempotent(idempotent bool) Call {
 	c.idempotent = idempotent
--- a/io/process/gtnode/version_test.go
+++ b/io/process/gtnode/version_test.go
@@ -73,3 +73,28 @@
 		})
 	}
 }
+
+// A request that was drawn for the old version must not run on a backend server that has
+// the new version since, and one that may run on either must.
+func TestRequestForOldVersionDoesNotRunOnNewOne(t *testing.T) {
+	running, all := moveState(gtmove.Running, 0.1), moveState(gtmove.Watching, 1)
+	for name, test := range map[string]struct {
+		version, picked, move string
+		state                 gtmove.State
+		want                  gtkind.Kind
+	}{
+		"meant for the old version":       {"2", "1", moveForth, running, gtkind.Refused},
+		"meant for the new version":       {"2", "2", moveForth, running, gtkind.None},
+		"from a peer that tells nothing":  {"2", "", moveForth, running, gtkind.None},
+		"the new version has all":         {"2", "1", moveForth, all, gtkind.None},
+		"old server, meant for a new one": {"1", "2", moveForth, running, gtkind.None},
+		"no move":                         {"2", "1", "", running, gtkind.None},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			n := newVersionNode(g, test.version, test.move)
+			n.moves.Merge(test.state)
+			g.Expect(gtkind.Of(n.checkVersion(gtcall.New("c", "GET", "/").WithVersion(test.picked)))).To(gomega.Equal(test.want))
+		})
+	}
+}
--- a/io/request/gtedge/edge.go
+++ b/io/request/gtedge/edge.go
@@ -248,7 +248,7 @@
 		tried = append(tried, to.Instance())
 		others := q.WithTried(slices.Clone(tried))
 		attemptCtx := e.withGiveUp(ctx, to, func() bool { return e.mayGiveUp(c, count, reached+1) && e.Router.CanPick(cfg, others) })
-		resp, err := e.attempt(attemptCtx, c, to)
+		resp, err := e.attempt(attemptCtx, withVersion(cfg, c, to), to)
 		k := gtkind.Of(err)
 		if err == nil && c.Idempotent() && resp.Status() == http.StatusServiceUnavailable {
 			k = gtkind.Shed
@@ -309,6 +309,15 @@
 	})
 }
 
+// withVersion returns the call with the version of the instance that was picked, if the
+// service has a move.
+func withVersion(cfg *gtconfig.Config, c gtcall.Call, to gtmember.Record) gtcall.Call {
+	if _, ok := cfg.Move(c.Service()); !ok {
+		return c
+	}
+	return c.WithVersion(to.Version())
+}
+
 // retryCall returns the call for the next attempt, after one that failed with
 // kind k.
 func (e *Edge) retryCall(c gtcall.Call, k gtkind.Kind) gtcall.Call {
@@ -375,7 +384,7 @@
 	released, unreachable := 0, 0
 	var lastErr error
 	for _, to := range ranked {
-		resp, err := e.attempt(e.withGiveUp(ctx, to, never), c, to)
+		resp, err := e.attempt(e.withGiveUp(ctx, to, never), withVersion(cfg, c, to), to)
 		row := gtkind.Of(err).Row()
 		if err == nil || row.Certainty() != gtkind.NotRun || !row.RetryElsewhere() || ctx.Err() != nil {
 			return resp, err
@@ -393,7 +402,8 @@
 		return gtcall.Response{}, gtkind.Wrap(lastErr, gtkind.OutcomeUnknown, "a node that may have run the request is unreachable")
 	}
 	if released == len(ranked) {
-		return e.attempt(e.withGiveUp(ctx, ranked[0], never), c.WithKey(c.Key(), c.IsResend(), true), ranked[0])
+		c = withVersion(cfg, c.WithKey(c.Key(), c.IsResend(), true), ranked[0])
+		return e.attempt(e.withGiveUp(ctx, ranked[0], never), c, ranked[0])
 	}
 	return gtcall.Response{}, lastErr
 }
--- a/io/request/gthop/header.go
+++ b/io/request/gthop/header.go
@@ -38,6 +38,9 @@
 	HeaderRetry = "Gt-Retry"
 	// HeaderCall holds the metadata of a call between nodes; see encodeCall.
 	HeaderCall = "Gt-Call"
+	// HeaderVersion holds the version of the backend server that the sender of a call
+	// picked in a move.
+	HeaderVersion = "Gt-Version"
 	// HeaderResponse holds the metadata of a response between nodes; see
 	// encodeResponseMeta.
 	HeaderResponse = "Gt-Answer"
@@ -49,7 +52,7 @@
 )
 
 // nodeFields are the header fields that only a node may set.
-var nodeFields = []string{HeaderID, HeaderCall, HeaderResponse, HeaderKind, HeaderCertainty}
+var nodeFields = []string{HeaderID, HeaderCall, HeaderVersion, HeaderResponse, HeaderKind, HeaderCertainty}
 
 // backendFields are computed for each request to the backend server. They are
 // removed from requests between nodes.
--- a/io/request/gthop/metadata.go
+++ b/io/request/gthop/metadata.go
@@ -41,6 +41,7 @@
 // id/instance/remaining/flags/class/service/route/hops/crashes. Each part is
 // percent-encoded, and the remaining time is in milliseconds. The ID is empty if
 // the caller chose it, as the caller's own header field carries it already. The
+// version goes into HeaderVersion, which nodes without it ignore. The
 // fields that are set for each request to the backend server are removed.
 func (d Dialect) encodeCall(r *http.Request, c gtcall.Call, instance string, now time.Time) {
 	for _, f := range backendFields {
@@ -64,6 +65,9 @@
 		meta[i] = url.PathEscape(meta[i])
 	}
 	r.Header.Set(HeaderCall, strings.Join(meta[:], "/"))
+	if c.Version() != "" {
+		r.Header.Set(HeaderVersion, url.PathEscape(c.Version()))
+	}
 }
 
 func noID() string { return "" }
@@ -115,12 +119,17 @@
 	if err != nil {
 		return c, gtkind.New(gtkind.BadRequest, "invalid number of crashes %.20q in a request from a peer", meta[metaCrashes])
 	}
+	version, err := url.PathUnescape(r.Header.Get(HeaderVersion))
+	if err != nil {
+		return c, gtkind.Wrap(err, gtkind.BadRequest, "unescape header %s of a request from a peer", HeaderVersion)
+	}
 	has := func(flag string) bool { return strings.Contains(meta[metaFlags], flag) }
 	if has(flagLookupOnly) {
 		c = c.WithLookupOnly()
 	}
 	return c.WithBody(body).
 		WithRoute(meta[metaService], meta[metaRoute], gtconfig.ParseClass(meta[metaClass])).
+		WithVersion(version).
 		WithIdempotent(!has(flagNonIdempotent)).
 		WithKey(r.Header.Get(HeaderIdempotencyKey), has(flagResend), has(flagReleasedByAll)).
 		WithRetry(has(flagRetry)).
--- a/test/mesh/helpers_test.go
+++ b/test/mesh/helpers_test.go
@@ -39,11 +39,12 @@
 	return string(buf[:n])
 }
 
-// sendCall sends a call to a site as a peer would and returns the first bytes of the
-// response.
-func sendCall(s *gtcluster.Site) string {
+// sendCall sends a call to a site as a peer would that picked a backend server of the
+// given version, and returns the first bytes of the response.
+func sendCall(s *gtcluster.Site, version string) string {
 	call := fmt.Sprintf("raw/%s/800//normal/lending/holds/0/0", s.Instance())
-	return sendRaw(s.Settings().HopAddress(), "GET /lending/x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"+gthop.HeaderCall+": "+call+"\r\n\r\n")
+	return sendRaw(s.Settings().HopAddress(), "GET /lending/x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"+
+		gthop.HeaderVersion+": "+version+"\r\n"+gthop.HeaderCall+": "+call+"\r\n\r\n")
 }
 
 // callNextService returns a function by which a backend server calls service n
--- a/test/mesh/move_test.go
+++ b/test/mesh/move_test.go
@@ -87,6 +87,9 @@
 				sleep(2 * time.Second)
 				pushConfig(cluster, moveConfig("m", "1", "2", 20*time.Second, "60s"))
 				gomega.Expect(cluster.WaitUntil(8*time.Second, func() bool { return moveStatus(oldSites[0], "m").Share > 0 })).To(gomega.BeTrue())
+				ginkgo.By("sending on a request as a peer whose record of the backend server is outdated")
+				gomega.Expect(sendCall(newSites[0], "1")).To(gomega.And(gomega.HavePrefix("HTTP/1.1 503"), gomega.ContainSubstring("/refused")))
+				gomega.Expect(sendCall(newSites[0], "2")).To(gomega.HavePrefix("HTTP/1.1 200"))
 				if f.SlowMS > 0 {
 					ginkgo.By("letting the move end first")
 					gomega.Expect(cluster.WaitUntil(30*time.Second, func() bool { return moveStatus(oldSites[0], "m").Phase == "watching" })).To(gomega.BeTrue())
@@ -104,10 +107,10 @@
 				}
 				ginkgo.By("sending on a request as a peer that has not heard of the rollback")
 				for _, s := range newSites {
-					gomega.Expect(sendCall(s)).To(gomega.And(gomega.HavePrefix("HTTP/1.1 503"), gomega.ContainSubstring("/leaving")))
+					gomega.Expect(sendCall(s, "2")).To(gomega.And(gomega.HavePrefix("HTTP/1.1 503"), gomega.ContainSubstring("/leaving")))
 					gomega.Expect(startedAfter(s, rolledBack.Add(rollbackLimit))).To(gomega.BeZero())
 				}
-				gomega.Expect(sendCall(oldSites[0])).To(gomega.HavePrefix("HTTP/1.1 200"))
+				gomega.Expect(sendCall(oldSites[0], "1")).To(gomega.HavePrefix("HTTP/1.1 200"))
 			})
 		}
 	})
