gtroute, gtmove: a rolled back version gets nothing when its order is gone

What callers saw: failures of a version that was rolled back, once its order was removed or replaced by one for another version while its servers were still there.

Cause: on the platform a service names no version. Without a move any version gets its requests, and the next move is from all other versions, the bad one among them.

Ruled out: services that name their version, and moves from a named one, don't pick by 'any' or 'all others'.

Why it works: the states of moves outlive their orders; an index by the end of their IDs tells whether the latest move to a version was rolled back, and the router leaves that version out wherever it would pick any, unless the service has no other.

--- a/core/request/gtroute/move_test.go
+++ b/core/request/gtroute/move_test.go
@@ -198,3 +198,33 @@
 		g.Expect(to.Instance()).To(gomega.Equal("a"))
 	}
 }
+
+// A version that was rolled back must get nothing from a service that names no version, or
+// as one of the others of a move, unless it is the only one.
+func TestRolledBackVersionIsNoneOfTheOthers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := newMoveRouter(g, 6, 2, 2)
+	m.IsRolledBack = func(service, version string) bool { return service == "s" && version == "2" }
+	noMove := config(g)
+	toThird := config(g, entry("move", "m", "service", "s"), entry("move", "m", "from", gtconfig.OtherVersions),
+		entry("move", "m", "to", "3"), entry("move", "m", "within", "20s"))
+	for _, cfg := range []*gtconfig.Config{noMove, toThird} {
+		for range 100 {
+			to, err := m.Pick(cfg, NewQuery("s"))
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(to.Version()).To(gomega.Equal("1"))
+		}
+		_, err := m.Pick(cfg, NewQuery("s").WithTried([]string{"a", "b"}))
+		g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.NoBackend))
+	}
+	m.setState(0, gtmember.Leaving)
+	m.setState(1, gtmember.Suspect)
+	_, err := m.Pick(noMove, NewQuery("s"))
+	g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.NoBackend), "the old servers may come back")
+	m.instances = m.instances[2:]
+	for _, cfg := range []*gtconfig.Config{noMove, toThird} {
+		to, err := m.Pick(cfg, NewQuery("s"))
+		g.Expect(err).NotTo(gomega.HaveOccurred(), "it is the only version")
+		g.Expect(to.Version()).To(gomega.Equal("2"))
+	}
+}
--- a/core/request/gtroute/route.go
+++ b/core/request/gtroute/route.go
@@ -70,6 +70,10 @@
 	// MoveShare returns the current share of traffic, 0 to 1, of the new version
 	// in a move.
 	MoveShare func(m gtconfig.Move) float64
+	// IsRolledBack reports whether a version of a service was rolled back. Such a version
+	// is picked only as the new one of a move, by name, or if there is no other. Nil means
+	// that none was.
+	IsRolledBack func(service, version string) bool
 	// OnMovePick is called with the service, the version of the instance and the
 	// reason each time an instance is picked for a service that has a move. It may be
 	// nil.
@@ -134,7 +138,7 @@
 	}
 	var firstErr error
 	for i, v := range rt.versions(cfg, service, q) {
-		r, err := rt.pickOf(ofVersion(eligible, v, moveTarget(cfg, service)), v, q)
+		r, err := rt.pickOf(rt.ofVersion(eligible, q.service, v, moveTarget(cfg, service)), v, q)
 		if err == nil {
 			return r, q.reason(i), nil
 		}
--- a/core/request/gtroute/version.go
+++ b/core/request/gtroute/version.go
@@ -1,6 +1,8 @@
 package gtroute
 
 import (
+	"slices"
+
 	"godwittide/core/process/gtmember"
 	"godwittide/core/process/gtshard"
 	"godwittide/core/version/gtconfig"
@@ -73,14 +75,49 @@
 }
 
 // ofVersion returns the instances of a version. An empty version means all, and
-// gtconfig.OtherVersions all but those of target.
-func ofVersion(list []gtmember.Record, version, target string) []gtmember.Record {
-	if version == "" {
+// gtconfig.OtherVersions all but those of target; both leave out versions that were rolled
+// back, unless the service has no other.
+func (rt *Router) ofVersion(list []gtmember.Record, service, version, target string) []gtmember.Record {
+	switch version {
+	case "":
+		return rt.withoutRolledBack(list, service, "")
+	case gtconfig.OtherVersions:
+		return rt.withoutRolledBack(filter(list, func(r gtmember.Record) bool { return r.Version() != target }), service, target)
+	default:
+		return filter(list, func(r gtmember.Record) bool { return r.Version() == version })
+	}
+}
+
+// withoutRolledBack returns the instances whose versions were not rolled back, or the
+// whole list if the service has none but of the version target.
+func (rt *Router) withoutRolledBack(list []gtmember.Record, service, target string) []gtmember.Record {
+	if rt.IsRolledBack == nil {
+		return list
+	}
+	verdicts := map[string]bool{}
+	isRolledBack := func(r gtmember.Record) bool {
+		verdict, ok := verdicts[r.Version()]
+		if !ok {
+			verdict = rt.IsRolledBack(service, r.Version())
+			verdicts[r.Version()] = verdict
+		}
+		return verdict
+	}
+	if !slices.ContainsFunc(list, isRolledBack) {
+		return list
+	}
+	isOther := func(r gtmember.Record) bool { return r.Version() != target && !isRolledBack(r) }
+	if !slices.ContainsFunc(rt.Instances(service), isOther) {
 		return list
 	}
+	return filter(list, isOther)
+}
+
+// filter returns the records for which keep returns true.
+func filter(list []gtmember.Record, keep func(r gtmember.Record) bool) []gtmember.Record {
 	var out []gtmember.Record
 	for _, r := range list {
-		if r.Version() == version || version == gtconfig.OtherVersions && r.Version() != target {
+		if keep(r) {
 			out = append(out, r)
 		}
 	}
--- a/core/version/gtconfig/config.go
+++ b/core/version/gtconfig/config.go
@@ -240,9 +240,13 @@
 // another deadline is the same move.
 func (m Move) ID() string { return joinDotted(m.name, m.service, m.from, m.to) }
 
+// MoveIDSuffix returns the end, after a dot, of the IDs of all moves of a service between
+// the given versions, whatever their names.
+func MoveIDSuffix(service, from, to string) string { return joinDotted(service, from, to) }
+
 // ReverseIDSuffix returns the suffix of the ID of any move in the opposite
 // direction, whatever its name.
-func (m Move) ReverseIDSuffix() string { return "." + joinDotted(m.service, m.to, m.from) }
+func (m Move) ReverseIDSuffix() string { return "." + MoveIDSuffix(m.service, m.to, m.from) }
 
 // Config is the merged configuration of a folder. It is immutable.
 type Config struct {
--- a/core/version/gtmove/table.go
+++ b/core/version/gtmove/table.go
@@ -41,6 +41,7 @@
 
 	states gtshard.Map[State]
 	halts  gtshard.Map[Halt]
+	latest latestStates
 }
 
 // Merge stores s if it supersedes the known state of its move, and reports
@@ -59,6 +60,9 @@
 		m[s.id] = s
 		changed = true
 	})
+	if changed {
+		t.latest.add(s)
+	}
 	return changed
 }
 
@@ -135,6 +139,10 @@
 			}
 		}
 	})
+	t.latest.prune(func(id string) bool {
+		_, ok := t.states.Get(id)
+		return ok
+	})
 	t.halts.Each(func(m map[string]Halt) {
 		for id := range m {
 			if _, ok := t.states.Get(id); !ok && !configured[id] {
--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -278,7 +278,7 @@
 	n.retry = &gtretry.Policy{Now: now}
 	n.outcomes = &gtcanary.OutcomeCounter{}
 	n.outcomes.Restart(uint64(n.startTime.UnixMilli()))
-	n.router = &gtroute.Router{Now: now, Rand: rand.Float64, Zone: cfg.Node.Zone, Instances: n.table.ServiceMembers, MoveShare: n.moves.Share, OnMovePick: n.countMovePick}
+	n.router = &gtroute.Router{Now: now, Rand: rand.Float64, Zone: cfg.Node.Zone, Instances: n.table.ServiceMembers, MoveShare: n.moves.Share, IsRolledBack: n.moves.IsRolledBack, OnMovePick: n.countMovePick}
 	n.hopPool = &gtpool.Pool{Dial: n.dialNode, Now: now, SupportsPing: true, MaxConns: cfg.Backend.MaxConnections}
 	n.backendPool = &gtpool.Pool{
 		Dial: n.dialBackend, Now: now, MaxConns: cfg.Backend.MaxConnections, MaxReuseIdle: time.Duration(cfg.Backend.MaxReuseIdle), IsMismatched: n.IsMismatched,
