stop: interrupt bodies that nobody sends

Callers that sent a head and no body, or half of one, held a stop until its drain timed out ("left" 1), and were then cut off 5.6 s after SIGTERM without a word. The read timeout is longer than the drain.

After the refuse period a stop interrupts bodies that have not arrived within 500 ms, and all when the drain times out; the caller is told that the request has not run.

Ruled out: a count that leaks (CallersThatLeftDoNotHoldAStop, PanicLeavesNoRequestInFlight).

--- a/core/request/gtinflight/table.go
+++ b/core/request/gtinflight/table.go
@@ -83,6 +83,19 @@
 	return all[:min(n, len(all))]
 }
 
+// InterruptReading interrupts the requests whose body is being read and whose head was read
+// before the given time.
+func (t *Table) InterruptReading(before time.Time) {
+	t.each(func(s *shard) {
+		for e := range s.entries {
+			if e.interrupt != nil && e.request.began.Before(before) {
+				e.interrupted = true
+				e.interrupt()
+			}
+		}
+	})
+}
+
 // Counts returns the number of requests in flight by origin and stage.
 func (t *Table) Counts() Counts {
 	var c Counts
@@ -118,8 +131,11 @@
 // Entry is a request in a Table.
 type Entry struct {
 	shard   *shard
-	request Request // guarded by the lock of the shard
+	request Request // guarded by the lock of the shard, as the following fields
 	ended   bool
+
+	interrupt   func() // while the body is read
+	interrupted bool
 }
 
 // Identify sets the request's ID, route and deadline, once they are known. The deadline may
@@ -133,6 +149,29 @@
 	e.update(func(r *Request) { r.stage, r.instance = stage, instance })
 }
 
+// BeginReading tells that the request's body is read from now on, and how to interrupt that.
+// The function must not block.
+func (e *Entry) BeginReading(interrupt func()) {
+	if e == nil {
+		return
+	}
+	e.shard.mu.Lock()
+	defer e.shard.mu.Unlock()
+	e.interrupt = interrupt
+}
+
+// EndReading tells that the body is no longer read, and reports whether it could be read
+// without an interruption.
+func (e *Entry) EndReading() bool {
+	if e == nil {
+		return true
+	}
+	e.shard.mu.Lock()
+	defer e.shard.mu.Unlock()
+	e.interrupt = nil
+	return !e.interrupted
+}
+
 // SetOutcome sets what the request ends with. Without one it ends as Cut.
 func (e *Entry) SetOutcome(o Outcome) { e.update(func(r *Request) { r.outcome = o }) }
 
--- a/io/connection/gtsocket/socket.go
+++ b/io/connection/gtsocket/socket.go
@@ -17,6 +17,7 @@
 	"errors"
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -115,6 +116,13 @@
 	return c
 }
 
+// InterruptRead ends the reads of the connection of the request that a context belongs to.
+func InterruptRead(ctx context.Context) {
+	if c := Conn(ctx); c != nil {
+		_ = c.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
 // CallerLeft reports whether the context has ended, or the caller of its request has
 // closed the connection.
 func CallerLeft(ctx context.Context) bool {
--- a/io/process/gtnode/shutdown.go
+++ b/io/process/gtnode/shutdown.go
@@ -17,6 +17,9 @@
 	// goneAnnounceTime is how long the overlay gets to send its last batch, with the
 	// announcement that the node is gone.
 	goneAnnounceTime = 100 * time.Millisecond
+	// bodyGracePeriod is how long the body of a request that arrives late in a shutdown may
+	// take.
+	bodyGracePeriod = 500 * time.Millisecond
 	// maxInFlightLines is the maximum number of log lines that name requests that
 	// outlast the drain.
 	maxInFlightLines = 20
@@ -25,7 +28,8 @@
 // shutDown drains the node: after LingerPeriod it announces that it is leaving. It
 // then waits until RefusePeriod has passed and no request is in flight, but not
 // beyond DrainTimeout, which starts with the shutdown, and stops the servers. Callers'
-// requests whose deadline lies beyond that are refused from LingerPeriod on.
+// requests whose deadline lies beyond that are refused from LingerPeriod on, and those
+// whose body has not arrived after RefusePeriod.
 func (n *Node) shutDown(ctx context.Context) {
 	n.Log.Info().Msg("node: draining")
 	begun, before := n.timer.Time(), n.requests.Outcomes()
@@ -41,10 +45,14 @@
 	defer ticker.Stop()
 	for n.requests.Len() > 0 || n.timer.Time().Before(refuseUntil) {
 		select {
-		case <-ticker.C():
+		case now := <-ticker.C():
+			if !now.Before(refuseUntil) {
+				n.requests.InterruptReading(now.Add(-bodyGracePeriod))
+			}
 			continue
-		case <-drainTimeout.C():
+		case now := <-drainTimeout.C():
 			n.logDrainTimeout()
+			n.requests.InterruptReading(now)
 		}
 		break
 	}
--- a/io/request/gtedge/edge.go
+++ b/io/request/gtedge/edge.go
@@ -190,7 +190,7 @@
 	}
 	id := e.Dialect.RequestIDOr(r, e.newID)
 	entry.Identify(id, route.Name(), start.Add(e.Dialect.ShortenTimeout(r, gtconfig.MaxTimeout)))
-	body, err := gthop.ReadBody(r, e.MaxBodyBytes)
+	body, err := gthop.ReadBody(r, entry, e.MaxBodyBytes)
 	if err != nil {
 		return gtcall.New(id, r.Method, r.URL.RequestURI()).WithRoute("", route.Name(), route.Class()), err
 	}
--- a/io/request/gthop/handler.go
+++ b/io/request/gthop/handler.go
@@ -16,6 +16,7 @@
 	"godwittide/core/request/gtinflight"
 	"godwittide/core/request/gtkind"
 	"godwittide/io/connection/gtpool"
+	"godwittide/io/connection/gtsocket"
 )
 
 // Handler serves calls from peers. Its fields are set before use.
@@ -101,7 +102,8 @@
 	if instance, self := meta[metaInstance], h.LocalBackend.Self().Instance(); instance != self {
 		return gtcall.Response{}, gtkind.New(gtkind.Refused, "this is instance %s, the request is addressed to %.64q", self, instance)
 	}
-	body, err := ReadBody(r, h.MaxBodyBytes)
+	entry := gtinflight.FromContext(ctx)
+	body, err := ReadBody(r, entry, h.MaxBodyBytes)
 	if err != nil {
 		return gtcall.Response{}, err
 	}
@@ -110,7 +112,6 @@
 	if err != nil {
 		return gtcall.Response{}, err
 	}
-	entry := gtinflight.FromContext(ctx)
 	entry.Identify(c.ID(), c.Route(), c.Deadline())
 	entry.MoveTo(gtinflight.Routing, "")
 	if h.callerDisconnectedDuringPause(ctx, now) {
@@ -145,15 +146,20 @@
 }
 
 // ReadBody returns the body of a request. It fails with TooLarge if the body has
-// more than limit bytes, and with BadRequest if it can't be read.
-func ReadBody(r *http.Request, limit int) ([]byte, error) {
+// more than limit bytes, with Leaving if a shutdown interrupts it before the whole body has
+// arrived, and with BadRequest if it can't be read.
+func ReadBody(r *http.Request, entry *gtinflight.Entry, limit int) ([]byte, error) {
 	if r.ContentLength > int64(limit) {
 		return nil, gtkind.New(gtkind.TooLarge, "request body has %d bytes, the limit is %d", r.ContentLength, limit)
 	}
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
+	entry.BeginReading(func() { gtsocket.InterruptRead(r.Context()) })
 	b, err := io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
+	if !entry.EndReading() {
+		return nil, gtkind.New(gtkind.Leaving, "this node shuts down before the request body has arrived")
+	}
 	if err != nil {
 		return nil, gtkind.Wrap(err, gtkind.BadRequest, "read the request body")
 	}
