--- a/core/request/gtinflight/request.go
+++ b/core/request/gtinflight/request.go
@@ -58,7 +58,9 @@
 	Refused
 	// Failed means an error response that doesn't say so.
 	Failed
-	// Cut means that no complete response was written.
+	// Abandoned means that the caller or peer left before the response was there.
+	Abandoned
+	// Cut means that no complete response was written for another reason.
 	Cut
 	outcomeCount
 )
@@ -72,7 +74,7 @@
 	case gtkind.Of(err).Row().Certainty() == gtkind.NotRun:
 		return Refused
 	case gtkind.Of(err) == gtkind.Canceled:
-		return Cut
+		return Abandoned
 	default:
 		return Failed
 	}
--- a/core/request/gtinflight/table_test.go
+++ b/core/request/gtinflight/table_test.go
@@ -48,8 +48,8 @@
 		e.End()
 	}
 	g.Expect(table.Len()).To(gomega.BeZero())
-	g.Expect(table.Outcomes()).To(gomega.Equal(Outcomes{10, 10, 10, 10}))
-	g.Expect(table.Outcomes().Since(Outcomes{1, 2, 3, 4})).To(gomega.Equal(Outcomes{9, 8, 7, 6}))
+	g.Expect(table.Outcomes()).To(gomega.Equal(Outcomes{8, 8, 8, 8, 8}))
+	g.Expect(table.Outcomes().Since(Outcomes{1, 2, 3, 4, 5})).To(gomega.Equal(Outcomes{7, 6, 5, 4, 3}))
 	g.Expect(table.Oldest(3)).To(gomega.BeEmpty())
 }
 
@@ -76,10 +76,10 @@
 func TestOutcomeFollowsFromTheError(t *testing.T) {
 	g := gomega.NewWithT(t)
 	for outcome, err := range map[Outcome]error{
-		Answered: nil,
-		Refused:  gtkind.New(gtkind.Leaving, "x"),
-		Failed:   gtkind.New(gtkind.Unresponsive, "x"),
-		Cut:      gtkind.New(gtkind.Canceled, "x"),
+		Answered:  nil,
+		Refused:   gtkind.New(gtkind.Leaving, "x"),
+		Failed:    gtkind.New(gtkind.Unresponsive, "x"),
+		Abandoned: gtkind.New(gtkind.Canceled, "x"),
 	} {
 		g.Expect(OutcomeOf(err)).To(gomega.Equal(outcome))
 	}
--- a/io/process/gtnode/shutdown.go
+++ b/io/process/gtnode/shutdown.go
@@ -94,5 +94,6 @@
 func (n *Node) logDrained(begun time.Time, ended gtinflight.Outcomes, left int) {
 	cut := ended.Of(gtinflight.Cut) + int64(left)
 	n.Log.Info().Int64("ms", n.timer.Time().Sub(begun).Milliseconds()).Int64("answered", ended.Of(gtinflight.Answered)).
-		Int64("refused", ended.Of(gtinflight.Refused)).Int64("failed", ended.Of(gtinflight.Failed)).Int64("cut", cut).Msg("node: drained")
+		Int64("refused", ended.Of(gtinflight.Refused)).Int64("failed", ended.Of(gtinflight.Failed)).
+		Int64("abandoned", ended.Of(gtinflight.Abandoned)).Int64("cut", cut).Msg("node: drained")
 }
--- a/io/request/gttimeline/timeline.go
+++ b/io/request/gttimeline/timeline.go
@@ -76,6 +76,7 @@
 	Answered    int     `json:"answered"`
 	Refused     int     `json:"refused"`
 	Failed      int     `json:"failed"`
+	Abandoned   int     `json:"abandoned"`
 	Cut         int     `json:"cut"`
 	Version     int64   `json:"version"`
 	Age         int64   `json:"age"`
@@ -121,7 +122,7 @@
 	case msgInFlight:
 		return fmt.Sprintf("%s: still in flight as the drain timed out: %s, received from %s %s %d ms before%s", e.node, stage(l), l.Origin, l.From, l.Age, remaining(l, ", "))
 	case msgDrained:
-		return fmt.Sprintf("%s: stopped serving after %d ms; meanwhile %d requests were answered, %d refused, %d failed, %d cut off", e.node, l.MS, l.Answered, l.Refused, l.Failed, l.Cut)
+		return fmt.Sprintf("%s: stopped serving after %d ms; meanwhile %d requests were answered, %d refused, %d failed, %d abandoned by their callers, %d cut off", e.node, l.MS, l.Answered, l.Refused, l.Failed, l.Abandoned, l.Cut)
 	case "move: new state", "move: new version halted":
 		return fmt.Sprintf("%s: %s: move %s is %s, share of traffic %.2f: %s", e.node, l.Message, l.Move, l.Phase, l.Share, l.Reason)
 	case msgOmitted:
--- a/io/request/gttimeline/timeline_test.go
+++ b/io/request/gttimeline/timeline_test.go
@@ -68,7 +68,7 @@
 {"node":"a-1","request":"7","route":"hold","origin":"caller","from":"10.0.0.9:1","stage":"working","instance":"b-1","age":5400,"left":4600,"time":"2026-12-04T10:00:05.200Z","message":"request: in flight as the drain timed out"}
 {"node":"a-1","request":"8","route":"hold","origin":"caller","from":"10.0.0.9:2","stage":"reading","instance":"","age":900,"time":"2026-12-04T10:00:05.200Z","message":"request: in flight as the drain timed out"}
 {"node":"a-1","kind":"answer canceled","request":"7","certainty":"unknown","why":"wait for the response of 10.0.0.2:1","left":4200,"paused":false,"ended":"stop","ms":5800,"version":3,"age":100,"time":"2026-12-04T10:00:05.600Z","message":"request: answered"}
-{"node":"a-1","ms":5600,"answered":40,"refused":3,"failed":0,"cut":1,"time":"2026-12-04T10:00:05.600Z","message":"node: drained"}
+{"node":"a-1","ms":5600,"answered":40,"refused":3,"failed":0,"abandoned":2,"cut":1,"time":"2026-12-04T10:00:05.600Z","message":"node: drained"}
 `,
 		"b-1": `{"node":"b-1","kind":"run canceled","request":"7","certainty":"unknown","why":"wait for the response of 10.0.0.2:2","left":4190,"paused":true,"ended":"sender","status":0,"ms":5700,"time":"2026-12-04T10:00:05.605Z","message":"request: came to its server"}
 `,
@@ -79,7 +79,7 @@
 		gomega.HaveSuffix("ended as the node closed the connection at the end of its stop; 4200 ms remaining"),
 		gomega.HaveSuffix("ended as the caller or peer closed the connection; 4190 ms remaining; the node's process was paused meanwhile"),
 	))
-	g.Expect(texts(timeline.Related())).To(gomega.ContainElement("a-1: stopped serving after 5600 ms; meanwhile 40 requests were answered, 3 refused, 0 failed, 1 cut off"))
+	g.Expect(texts(timeline.Related())).To(gomega.ContainElement("a-1: stopped serving after 5600 ms; meanwhile 40 requests were answered, 3 refused, 0 failed, 2 abandoned by their callers, 1 cut off"))
 	g.Expect(timeline.Missing()).To(gomega.BeEmpty())
 	timeline = readLogs(g, "8", logs)
 	g.Expect(texts(timeline.Events())).To(gomega.Equal([]string{
