edge: ask to close the connection when the response is written

Callers whose request was at work at SIGTERM got a response without "Connection: close", and their next request on the connection crossed the node's close.

The header was set as a request began. Evidence: gtplatform ResponseDuringAStopTellsTheCallerToClose failed before (resp.Close false). Ruled out: requests that begin after SIGTERM, and peers, which get the close notice.

--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -295,7 +295,7 @@
 		Now: now, Self: cfg.Node.Instance, IDPrefix: cfg.Node.Instance + "-" + strconv.FormatInt(n.startTime.UnixMilli(), 36) + "-",
 		MaxBodyBytes: cfg.Limit.MaxBodyBytes, MaxHops: cfg.Limit.MaxHops, Holder: n.holder, Router: n.router, Instances: n.table.ServiceMembers,
 		Retry: n.retry, Crashes: n.crashes, OnCrash: n.mergeCrash, HistoryKnown: n.dedupHistoryKnown, LocalBackend: n.localBackend, Client: client,
-		MayBegin: n.drain.MayBegin, OnOutcome: n.recordOutcome, OnResponse: n.recordResponse, Trace: n.tracer.Start, OnPanic: n.recordPanic,
+		MayBegin: n.drain.MayBegin, Closing: n.drain.Begun, OnOutcome: n.recordOutcome, OnResponse: n.recordResponse, Trace: n.tracer.Start, OnPanic: n.recordPanic,
 		Dialect: n.Dialect, Split: split, OnRetry: n.logRetry, Requests: n.requests,
 	}
 }
--- a/io/request/gtedge/edge.go
+++ b/io/request/gtedge/edge.go
@@ -82,6 +82,9 @@
 	// MayBegin reports whether a request with the given deadline may begin: the node
 	// may be shutting down. Nil means that all may.
 	MayBegin func(deadline time.Time) bool
+	// Closing reports whether callers are to close their connections after the response.
+	// Nil means that they aren't.
+	Closing func() bool
 	// OnOutcome is called with the outcome of each attempt, if that is evidence
 	// about the version that ran it.
 	OnOutcome func(service, route, version string, o gtcanary.Outcome)
@@ -116,6 +119,9 @@
 	end(err)
 	e.OnResponse(c, err, e.Now().Sub(start))
 	entry.MoveTo(gtinflight.Writing, "")
+	if e.Closing != nil && e.Closing() {
+		w.Header().Set("Connection", "close")
+	}
 	if err != nil {
 		e.Dialect.WriteError(w, err)
 	} else {
