stop: don't close a connection on which a head is being read

Callers on kept connections got EOF for a request of which the stopping node had read a part: the HTTP server counts the connection as idle until the head is complete, and the bytes are no longer in the socket.

The connection remembers that bytes came, and a stop waits up to 500 ms for the rest. Evidence: gtnode StopServesARequestWhoseHeadIsBeingRead failed before, "unexpected EOF". Ruled out: peers, which get the close notice.

--- a/io/process/gtnode/idle.go
+++ b/io/process/gtnode/idle.go
@@ -11,9 +11,14 @@
 	"godwittide/io/request/gthop"
 )
 
-// noticeWriteTimeout is the timeout for writing the notice; its few bytes fit into
-// the empty send buffer.
-const noticeWriteTimeout = 10 * time.Millisecond
+const (
+	// noticeWriteTimeout is the timeout for writing the notice; its few bytes fit into
+	// the empty send buffer.
+	noticeWriteTimeout = 10 * time.Millisecond
+	// headGracePeriod is how long the rest of a request's head may take while the
+	// servers close.
+	headGracePeriod = 500 * time.Millisecond
+)
 
 // closeNotice is the error response written to an idle connection before it is
 // closed. A caller or node that sends a request at that moment receives it as the
@@ -30,9 +35,10 @@
 	// connection that has had no request yet is closed only with a notice.
 	notice []byte
 
-	mu      sync.Mutex
-	conns   map[net.Conn]connState
-	closing bool // connections that become idle are closed
+	mu           sync.Mutex
+	conns        map[net.Conn]connState
+	closing      bool // connections that become idle are closed
+	closingSince time.Time
 }
 
 // connState is the state of a tracked connection.
@@ -53,6 +59,9 @@
 	if i.conns == nil {
 		i.conns = map[net.Conn]connState{}
 	}
+	if lc, ok := c.(*limitConn); ok && state == http.StateIdle {
+		lc.resetReceived()
+	}
 	switch {
 	case state == http.StateClosed || state == http.StateHijacked:
 		delete(i.conns, c)
@@ -92,16 +101,19 @@
 
 // close closes the idle connections without unread bytes, and from then on each that
 // becomes idle, if there is a notice. It returns the number of those that are to be waited
-// for: with unread bytes, or with a request in flight after which the notice is sent.
+// for: with unread bytes, with a part of a request's head, or with a request in flight after
+// which the notice is sent.
 func (i *idleConns) close() int {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.closing = true
+	if !i.closing {
+		i.closing, i.closingSince = true, time.Now()
+	}
 	left := 0
 	for c, state := range i.conns {
 		switch {
 		case state == connNotified:
-		case state == connActive || gtsocket.Peek(c) == gtsocket.Unread:
+		case state == connActive || gtsocket.Peek(c) == gtsocket.Unread || i.awaitsHead(c):
 			left++
 		case i.notice == nil:
 			delete(i.conns, c)
@@ -113,6 +125,14 @@
 	return left
 }
 
+// awaitsHead reports whether the rest of a request's head may still come on an idle
+// connection: the HTTP server has read its beginning, but counts the connection as idle until
+// the head is complete. The caller holds the lock.
+func (i *idleConns) awaitsHead(c net.Conn) bool {
+	lc, ok := c.(*limitConn)
+	return ok && lc.hasReceived() && time.Since(i.closingSince) < headGracePeriod
+}
+
 // closeWithNotice writes the notice to an idle connection and closes it. The caller holds
 // the lock.
 func (i *idleConns) closeWithNotice(c net.Conn) {
--- a/io/process/gtnode/serve.go
+++ b/io/process/gtnode/serve.go
@@ -252,13 +252,30 @@
 	}
 }
 
-// limitConn is a connection that counts towards the limit of its listener.
+// limitConn is a connection that counts towards the limit of its listener. It remembers
+// whether bytes have been received.
 type limitConn struct {
 	net.Conn
 	listener *limitListener
 	once     sync.Once
+	received atomic.Bool
 }
 
+// Read reads from the connection.
+func (c *limitConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.received.Store(true)
+	}
+	return n, err
+}
+
+// hasReceived reports whether bytes have been received since the last call of
+// resetReceived.
+func (c *limitConn) hasReceived() bool { return c.received.Load() }
+
+func (c *limitConn) resetReceived() { c.received.Store(false) }
+
 // NetConn returns the connection that the limit is on.
 func (c *limitConn) NetConn() net.Conn { return c.Conn }
 
--- a/io/process/gtnode/shutdown_test.go
+++ b/io/process/gtnode/shutdown_test.go
@@ -149,3 +149,45 @@
 		}
 	}
 }
+
+// A caller's next request on a kept connection arrives in two parts, and the node stops in
+// between. The first part has left the socket, so that the connection looks idle.
+func TestStopServesARequestWhoseHeadIsBeingRead(t *testing.T) {
+	g := gomega.NewWithT(t)
+	listen := func() net.Listener {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		return ln
+	}
+	s := &servers{listeners: listeners{edge: listen(), hop: listen(), peer: listen()}}
+	s.listeners.hopSocket = s.listeners.hop
+	h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") })
+	s.edge = &http.Server{Handler: h, ConnState: s.edgeConns.trackState, ConnContext: gtsocket.WithConn}
+	s.hop, s.admin = &http.Server{}, &http.Server{}
+	go func() { _ = s.edge.Serve(&limitListener{Listener: s.listeners.edge, maxConns: 9}) }()
+	go func() { _ = s.hop.Serve(s.listeners.hop) }()
+	c, err := net.Dial("tcp", s.listeners.edge.Addr().String())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer c.Close()
+	r := bufio.NewReader(c)
+	request := "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+	for _, parts := range [][]string{{request}, {request[:10], request[10:]}} {
+		for i, part := range parts {
+			if i > 0 {
+				time.Sleep(20 * time.Millisecond)
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				timer := &gttimer.Service{}
+				go timer.Run(ctx)
+				go s.shutdown(ctx, timer, 0)
+				time.Sleep(20 * time.Millisecond)
+			}
+			_, err := io.WriteString(c, part)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+		}
+		resp, err := http.ReadResponse(r, nil)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		_, _ = io.Copy(io.Discard, resp.Body)
+		g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusOK))
+	}
+}
