stop: don't wait for connections that send nothing

A caller's connection that had sent no request, or half a head, held a stop until limit.drain: the HTTP server's shutdown waits for such connections up to an age of 5 s.

TestShutdownKeepsConnectionsWithUnreadRequests passed one connection to trackState as two different values, which the HTTP server doesn't do; the second stood for a connection that is never idle. It passes the same value now and checks the same. TestNewConnections... checks, besides, that the connection is closed in the end.

--- a/io/process/gtnode/idle.go
+++ b/io/process/gtnode/idle.go
@@ -31,8 +31,8 @@
 // flight. Closing one just as a request arrives would lose the request, so connections
 // with unread bytes are left open to be served.
 type idleConns struct {
-	// notice is written to a connection before it is closed; nil means none. A
-	// connection that has had no request yet is closed only with a notice.
+	// notice is written to a connection before it is closed; nil means none. Without one
+	// a connection that has had no request yet stays open for headGracePeriod.
 	notice []byte
 
 	mu           sync.Mutex
@@ -44,9 +44,10 @@
 // connState is the state of a tracked connection.
 type connState int
 
-// The states. Without a notice only idle connections are tracked.
+// The states. Without a notice only new and idle connections are tracked.
 const (
 	connActive connState = iota
+	connNew              // no request has come yet; only without a notice
 	connIdle
 	connNotified // the notice has been sent; it can't be withdrawn
 )
@@ -68,7 +69,9 @@
 	case i.conns[c] == connNotified:
 	case state == http.StateIdle && i.closing && i.notice != nil:
 		i.closeWithNotice(c)
-	case state == http.StateIdle, state == http.StateNew && i.notice != nil:
+	case state == http.StateNew && i.notice == nil:
+		i.conns[c] = connNew
+	case state == http.StateIdle, state == http.StateNew:
 		i.conns[c] = connIdle
 	case i.notice != nil:
 		i.conns[c] = connActive
@@ -113,7 +116,7 @@
 	for c, state := range i.conns {
 		switch {
 		case state == connNotified:
-		case state == connActive || gtsocket.Peek(c) == gtsocket.Unread || i.awaitsHead(c):
+		case state == connActive || gtsocket.Peek(c) == gtsocket.Unread || i.awaitsHead(c, state):
 			left++
 		case i.notice == nil:
 			delete(i.conns, c)
@@ -125,12 +128,15 @@
 	return left
 }
 
-// awaitsHead reports whether the rest of a request's head may still come on an idle
-// connection: the HTTP server has read its beginning, but counts the connection as idle until
-// the head is complete. The caller holds the lock.
-func (i *idleConns) awaitsHead(c net.Conn) bool {
+// awaitsHead reports whether the head of a request may still come on a new connection, or the
+// rest of one on an idle connection: the HTTP server has read its beginning, but counts the
+// connection as idle until the head is complete. The caller holds the lock.
+func (i *idleConns) awaitsHead(c net.Conn, state connState) bool {
+	if time.Since(i.closingSince) >= headGracePeriod {
+		return false
+	}
 	lc, ok := c.(*limitConn)
-	return ok && lc.hasReceived() && time.Since(i.closingSince) < headGracePeriod
+	return state == connNew || ok && lc.hasReceived()
 }
 
 // closeWithNotice writes the notice to an idle connection and closes it. The caller holds
--- a/io/process/gtnode/idle_test.go
+++ b/io/process/gtnode/idle_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 
@@ -40,8 +41,9 @@
 	idleClient, idleServer := connPair(t)
 	unreadClient, unreadServer := connPair(t)
 	for _, c := range []net.Conn{idleServer, unreadServer} {
-		idle.trackState(c, http.StateNew)
-		idle.trackState(&limitConn{Conn: c, listener: &limitListener{}}, http.StateIdle)
+		lc := &limitConn{Conn: c, listener: &limitListener{}}
+		idle.trackState(lc, http.StateNew)
+		idle.trackState(lc, http.StateIdle)
 	}
 	_, err := unreadClient.Write([]byte("G"))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -98,7 +100,8 @@
 }
 
 // Callers may open connections in advance. One that has had no request yet is
-// closed like an idle one if a notice can be sent, and otherwise stays open.
+// closed like an idle one if a notice can be sent, and otherwise stays open for the time
+// in which its first request may come.
 func TestNewConnectionsAreClosedOnlyWithNotice(t *testing.T) {
 	g := gomega.NewWithT(t)
 	client, server := connPair(t)
@@ -114,4 +117,8 @@
 	withoutNotice.close()
 	_, err = other.Write([]byte("x"))
 	g.Expect(err).NotTo(gomega.HaveOccurred(), "the connection stays open")
+	withoutNotice.closingSince = time.Now().Add(-headGracePeriod)
+	g.Expect(withoutNotice.close()).To(gomega.BeZero())
+	_, err = other.Write([]byte("x"))
+	g.Expect(err).To(gomega.HaveOccurred())
 }
