--- a/core/process/gtdrain/drain.go
+++ b/core/process/gtdrain/drain.go
@@ -45,7 +45,13 @@
 // MayBegin reports whether a request with the given deadline may begin now: it ends
 // before the shutdown does, or its caller may not know of the shutdown yet.
 func (d *Drain) MayBegin(deadline time.Time) bool {
-	return !d.LingerEnded() || !deadline.After(d.begun.Time().Add(d.Limit))
+	return !d.LingerEnded() || !d.EndsBefore(deadline)
+}
+
+// EndsBefore reports whether the shutdown has begun and ends before the deadline.
+func (d *Drain) EndsBefore(deadline time.Time) bool {
+	begun := d.begun.Time()
+	return !begun.IsZero() && deadline.After(begun.Add(d.Limit))
 }
 
 // Left returns the time until the end of the shutdown, and 0 after it. It must not
--- a/core/process/gtdrain/drain_test.go
+++ b/core/process/gtdrain/drain_test.go
@@ -16,8 +16,11 @@
 	d := &Drain{Now: func() time.Time { return now }, Linger: 2 * time.Second, Limit: 5 * time.Second}
 	g.Expect(d.MayBegin(start.Add(time.Hour))).To(gomega.BeTrue(), "no shutdown")
 	g.Expect(d.Begun()).To(gomega.BeFalse())
+	g.Expect(d.EndsBefore(start.Add(time.Hour))).To(gomega.BeFalse())
 	d.Begin()
 	g.Expect(d.Begun()).To(gomega.BeTrue())
+	g.Expect(d.EndsBefore(start.Add(5 * time.Second))).To(gomega.BeFalse())
+	g.Expect(d.EndsBefore(start.Add(5*time.Second + 1))).To(gomega.BeTrue())
 	g.Expect(d.LingerEnded()).To(gomega.BeFalse())
 	for _, c := range []struct {
 		at, timeout time.Duration
