--- a/io/process/gtsoak/rolloutplan.go
+++ b/io/process/gtsoak/rolloutplan.go
@@ -32,7 +32,7 @@
 // RolloutTroubles lists the troubles beside a rollout.
 var RolloutTroubles = []string{
 	"none", "turns", "drivers", "release", "freeze", "busy", "store slow", "store loses", "store down", "store slow+drivers", "freeze+turns", "busy+release", "drivers frozen",
-	"old together", "old together+store slow", "drivers+store down", "old together+busy",
+	"old together", "old together+store slow", "drivers+store down", "old together+busy", "old away",
 }
 
 const (
@@ -44,6 +44,8 @@
 	turnInterval = 1300 * time.Millisecond
 	// releaseInterval is the same for a release, in which stops overlap.
 	releaseInterval = 800 * time.Millisecond
+	// awayTime is the downtime of the old version's nodes when they are away.
+	awayTime = 4 * time.Second
 	// maxFreezeTime bounds the duration for which a node is frozen.
 	maxFreezeTime = 4 * time.Second
 	// maxTroubleDelay bounds the time between the order and the start of a trouble.
@@ -59,16 +61,19 @@
 	switch name {
 	case "turns":
 		r.sleep(delay / 2)
-		r.restartInTurn(nodes, turnInterval)
+		r.restartInTurn(nodes, turnInterval, seriesDowntime)
 	case "drivers":
 		r.sleep(delay)
-		r.restartInTurn(r.drivers(), 0)
+		r.restartInTurn(r.drivers(), 0, seriesDowntime)
 	case "old together":
 		r.sleep(delay)
-		r.restartInTurn(r.old, 0)
+		r.restartInTurn(r.old, 0, seriesDowntime)
+	case "old away":
+		r.sleep(delay)
+		r.restartInTurn(r.old, 0, awayTime)
 	case "release":
 		r.sleep(delay)
-		r.restartInTurn(r.old, releaseInterval)
+		r.restartInTurn(r.old, releaseInterval, seriesDowntime)
 	case "freeze":
 		r.freeze(nodes[:len(nodes)/3], rnd)
 	case "drivers frozen":
@@ -88,11 +93,11 @@
 	}
 }
 
-// restartInTurn restarts nodes, each the interval after the one before.
-func (r *rolloutRun) restartInTurn(nodes []*site, interval time.Duration) {
+// restartInTurn restarts nodes after a downtime, each the interval after the one before.
+func (r *rolloutRun) restartInTurn(nodes []*site, interval, downtime time.Duration) {
 	var wg sync.WaitGroup
 	for _, s := range nodes {
-		wg.Go(func() { r.restartNode(s, seriesDowntime) })
+		wg.Go(func() { r.restartNode(s, downtime) })
 		r.sleep(interval)
 	}
 	wg.Wait()
