--- a/cmd/godwitstand/rollout.go
+++ b/cmd/godwitstand/rollout.go
@@ -16,7 +16,7 @@
 }
 
 type rolloutCommand struct {
-	Program string `help:"Program to run the nodes with." default:"godwittide" placeholder:"FILE"`
+	Program string `help:"Program to run the nodes with, without heartbeats of the backend servers; this program's beats command if empty." placeholder:"FILE"`
 	Seed    uint64 `help:"Seed of the first run." default:"1"`
 	Seeds   int    `help:"Number of runs, each with the next seed." default:"1"`
 	Kind    string `help:"How the new version is bad: errors, slow, load, class, late, or good; drawn from the seed if empty." default:""`
@@ -63,8 +63,16 @@
 		return gtsoak.RolloutReport{}, errorx.Decorate(err, "create the folder of a run")
 	}
 	kinds, troubles := uint64(len(gtsoak.RolloutKinds)), uint64(len(gtsoak.RolloutTroubles))
+	nodeCommand := []string{c.Program, "node"}
+	if c.Program == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return gtsoak.RolloutReport{}, errorx.Decorate(err, "find the path of this program")
+		}
+		nodeCommand = []string{self, "beats"}
+	}
 	rollout := &gtsoak.Rollout{
-		NodeCommand: []string{c.Program, "node"}, Dir: dir, Seed: seed, Kind: c.Kind, Trouble: c.Trouble,
+		NodeCommand: nodeCommand, Dir: dir, Seed: seed, Kind: c.Kind, Trouble: c.Trouble,
 		RolloutTime: gtsoak.RolloutTime, SteadyTime: gtsoak.SteadyTime,
 	}
 	if rollout.Kind == "" {
--- a/io/process/gtsoak/rolloutserver.go
+++ b/io/process/gtsoak/rolloutserver.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -30,6 +31,14 @@
 	loadLimit = 2
 )
 
+// The path and the headers of the response with which a backend server says when its
+// process started, in Unix milliseconds, and how long it will be cold.
+const (
+	HealthPath  = "/health"
+	StartHeader = "Started"
+	ColdHeader  = "Cold-Remaining"
+)
+
 // rolloutServer is a backend server of one version. Its exported state is what it has
 // seen and answered; kind is the way in which its version is bad, or empty.
 type rolloutServer struct {
@@ -61,8 +70,13 @@
 	_ = server.Serve(ln)
 }
 
-// ServeHTTP runs a request in a free slot.
+// ServeHTTP answers health checks, and runs other requests in a free slot.
 func (b *rolloutServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == HealthPath {
+		w.Header().Set(StartHeader, strconv.FormatInt(b.startedAt.UnixMilli(), 10))
+		w.Header().Set(ColdHeader, max(0, coldTime-time.Since(b.startedAt)).String())
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
