stop: serve the first request of a connection that was just opened

Clients got "server closed idle connection" or a 408 for the first request on a new connection: a stopping node that has a close notice closed connections without a request at once, while a caller short of processor time was about to send. Clients repeat such a request only on connections that were used before.

--- a/io/process/gtnode/idle.go
+++ b/io/process/gtnode/idle.go
@@ -31,8 +31,7 @@
 // flight. Closing one just as a request arrives would lose the request, so connections
 // with unread bytes are left open to be served.
 type idleConns struct {
-	// notice is written to a connection before it is closed; nil means none. Without one
-	// a connection that has had no request yet stays open for headGracePeriod.
+	// notice is written to a connection before it is closed; nil means none.
 	notice []byte
 
 	mu           sync.Mutex
@@ -47,7 +46,7 @@
 // The states. Without a notice only new and idle connections are tracked.
 const (
 	connActive connState = iota
-	connNew              // no request has come yet; only without a notice
+	connNew              // no request has come yet
 	connIdle
 	connNotified // the notice has been sent; it can't be withdrawn
 )
@@ -69,9 +68,9 @@
 	case i.conns[c] == connNotified:
 	case state == http.StateIdle && i.closing && i.notice != nil:
 		i.closeWithNotice(c)
-	case state == http.StateNew && i.notice == nil:
+	case state == http.StateNew:
 		i.conns[c] = connNew
-	case state == http.StateIdle, state == http.StateNew:
+	case state == http.StateIdle:
 		i.conns[c] = connIdle
 	case i.notice != nil:
 		i.conns[c] = connActive
--- a/io/process/gtnode/shutdown_test.go
+++ b/io/process/gtnode/shutdown_test.go
@@ -191,3 +191,40 @@
 		g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusOK))
 	}
 }
+
+// A caller or peer has opened a connection and is about to send its first request, which a
+// process short of processor time does late, when the node closes its servers (soak, seed
+// 801). A client may not repeat a request that fails on a new connection.
+func TestStopServesTheFirstRequestOfANewConnection(t *testing.T) {
+	g := gomega.NewWithT(t)
+	listen := func() net.Listener {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		return ln
+	}
+	for _, notice := range [][]byte{nil, closeNotice} {
+		s := &servers{listeners: listeners{edge: listen(), hop: listen(), peer: listen()}}
+		s.listeners.hopSocket = s.listeners.hop
+		s.edgeConns.notice = notice
+		h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") })
+		s.edge = &http.Server{Handler: h, ConnState: s.edgeConns.trackState, ConnContext: gtsocket.WithConn}
+		s.hop, s.admin = &http.Server{}, &http.Server{}
+		go func() { _ = s.edge.Serve(s.listeners.edge) }()
+		go func() { _ = s.hop.Serve(s.listeners.hop) }()
+		c, err := net.Dial("tcp", s.listeners.edge.Addr().String())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		defer c.Close()
+		time.Sleep(20 * time.Millisecond)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		timer := &gttimer.Service{}
+		go timer.Run(ctx)
+		go s.shutdown(ctx, timer, time.Second)
+		time.Sleep(100 * time.Millisecond)
+		_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusOK), "notice: %v", notice != nil)
+	}
+}
