--- a/io/process/gtnode/requestlog.go
+++ b/io/process/gtnode/requestlog.go
@@ -1,9 +1,11 @@
 package gtnode
 
 import (
+	"errors"
 	"net/http"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"github.com/rs/zerolog"
 
 	"godwittide/core/connection/gtliveness"
@@ -36,9 +38,26 @@
 	if err != nil {
 		e = e.Str("certainty", k.Row().Certainty().String()).Str("why", gtkind.Detail(err))
 	}
+	if k == gtkind.ConnectionLost {
+		e = e.Str("error", rootCause(err).Error())
+	}
 	return e
 }
 
+// rootCause returns the innermost error that err wraps.
+func rootCause(err error) error {
+	for {
+		cause := errors.Unwrap(err)
+		if e := errorx.Cast(err); e != nil {
+			cause = e.Cause()
+		}
+		if cause == nil {
+			return err
+		}
+		err = cause
+	}
+}
+
 const (
 	endedByStop     = "stop"     // this node closed the connection at the end of its stop
 	endedByDeadline = "deadline" // the request's deadline passed
--- a/io/request/gttimeline/timeline.go
+++ b/io/request/gttimeline/timeline.go
@@ -184,6 +184,9 @@
 		return ""
 	}
 	text := ": " + l.Why
+	if l.Error != "" {
+		text += " (" + l.Error + ")"
+	}
 	if l.Ended != "" {
 		text += "; ended as " + cmp.Or(enders[l.Ended], l.Ended)
 	}
