stop: write the close notice also when short of processor time

Callers and peers got EOF in place of "not run" on connections that a stopping node closed: the write of the notice had 10 ms, which a process short of processor time can lose before the system call. A peer takes that for a request that may have run, and answers 502.

The write has 1 s; it doesn't block, as the send buffer is empty.

--- a/io/process/gtnode/idle.go
+++ b/io/process/gtnode/idle.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// noticeWriteTimeout is the timeout for writing the notice; its few bytes fit into
-	// the empty send buffer.
-	noticeWriteTimeout = 10 * time.Millisecond
+	// noticeWriteTimeout is the timeout for writing the notice. Its few bytes fit into
+	// the empty send buffer, but the process may be short of processor time.
+	noticeWriteTimeout = time.Second
 	// headGracePeriod is how long the rest of a request's head may take while the
 	// servers close.
 	headGracePeriod = 500 * time.Millisecond
--- a/io/process/gtnode/idle_test.go
+++ b/io/process/gtnode/idle_test.go
@@ -124,3 +124,26 @@
 	_, err = other.Write([]byte("x"))
 	g.Expect(err).To(gomega.HaveOccurred())
 }
+
+// lateWriter is a connection of a process that gets no processor time for a while between
+// the start of a write and its system call.
+type lateWriter struct{ net.Conn }
+
+// Write writes after that time.
+func (c lateWriter) Write(b []byte) (int, error) {
+	time.Sleep(100 * time.Millisecond)
+	return c.Conn.Write(b)
+}
+
+// A process short of processor time must not close a connection without the notice: a peer
+// takes that for a lost request that may have run (soak of stops, seed 802).
+func TestNoticeIsWrittenByAProcessShortOfProcessorTime(t *testing.T) {
+	g := gomega.NewWithT(t)
+	idle := idleConns{notice: closeNotice}
+	client, server := connPair(t)
+	idle.trackState(lateWriter{server}, http.StateIdle)
+	g.Expect(idle.close()).To(gomega.BeZero())
+	resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusRequestTimeout))
+}
