--- a/test/soak/rollout_test.go
+++ b/test/soak/rollout_test.go
@@ -16,7 +16,7 @@
 func TestSlowVersionIsRolledBackInTime(t *testing.T) {
 	rollout := &gtsoak.Rollout{
 		NodeCommand: []string{filepath.Join(programDir, "godwitstand"), "beats"}, Dir: t.TempDir(), Seed: 1, Kind: "slow", Trouble: "none",
-		RolloutTime: 10 * time.Second, SteadyTime: 3 * time.Second,
+		RolloutTime: 9 * time.Second, SteadyTime: 3 * time.Second,
 	}
 	report, err := rollout.Run(t.Context())
 	if err != nil {
