gtsoak: bounded files, pauses, and stops nearer to the users' record

Busy goroutines ran in the harness, so that they slowed down the callers; they are processes now. Requests have timeouts below and above the keep-alive timeout and take up to 95% of them. A node is killed 6 s after its SIGTERM, as by the users' platform. Each finding says what was under way at the nodes.

After the planned work, requests take at most half of their timeout, so that a late one is the nodes' fault; all must be answered then, as before.

--- a/cmd/godwitstand/soak.go
+++ b/cmd/godwitstand/soak.go
@@ -23,7 +23,8 @@
 	Minutes float64 `help:"Minutes during which faults are injected, in each run." default:"1"`
 	Sites   int     `help:"Number of backend servers, each with its own node." default:"6"`
 	Stops   bool    `help:"Stop nodes in turn, overlapping, under requests that take long, in place of random faults."`
-	Busy    int     `help:"Goroutines that only compute beside the nodes." default:"0"`
+	Pauses  bool    `help:"With stops, pause nodes for moments, as if they were short of processor time."`
+	Busy    int     `help:"Processes that only compute beside the nodes." default:"0"`
 	Plant   string  `help:"Run nodes with a fault: lie, twice, mix or leave, see plant --help." default:"" enum:",lie,twice,mix,leave"`
 	Keep    string  `help:"Folder for settings and logs of the nodes; those of runs without findings are removed." placeholder:"DIR"`
 }
@@ -56,7 +57,7 @@
 		if err := os.MkdirAll(dir, 0o700); err != nil {
 			return errorx.Decorate(err, "create the folder of a run")
 		}
-		soak := &gtsoak.Soak{NodeCommand: nodeCommand, Dir: dir, Seed: c.Seed + i, FaultTime: time.Duration(c.Minutes * float64(time.Minute)), Sites: c.Sites, Stops: c.Stops, Busy: c.Busy}
+		soak := &gtsoak.Soak{NodeCommand: nodeCommand, Dir: dir, Seed: c.Seed + i, FaultTime: time.Duration(c.Minutes * float64(time.Minute)), Sites: c.Sites, Stops: c.Stops, Pauses: c.Pauses, Busy: c.Busy}
 		report, err := soak.Run(env.Context())
 		if err != nil {
 			return err
@@ -91,7 +92,7 @@
 }
 
 func (c *soakCommand) print(env gtcommand.Env, r gtsoak.Report, dir string) {
-	env.Printf("seed %d: %d faults, configuration active %d ms after them; %v\n", r.Seed, r.Faults, r.PropagationMS, r.Calls)
+	env.Printf("seed %d: %d faults, configuration active %d ms after them, at most %d files open; %v\n", r.Seed, r.Faults, r.PropagationMS, r.Files, r.Calls)
 	for _, s := range r.TooSlow {
 		env.Printf("  slow: %s\n", s)
 	}
--- a/io/process/gtfake/backend.go
+++ b/io/process/gtfake/backend.go
@@ -62,6 +62,9 @@
 	// Jitter is the jitter of the service time, as a share of ServiceTime: the time
 	// is uniform between ServiceTime*(1-Jitter) and ServiceTime*(1+Jitter).
 	Jitter float64
+	// ServiceTimeOf returns the service time of a request by its path and its body or
+	// query, in place of ServiceTime and Jitter; nil means that these apply.
+	ServiceTimeOf func(path, body string) time.Duration
 	// WarmUp is the warm-up time after a start, during which the concurrency limit
 	// is a tenth of Slots.
 	WarmUp time.Duration
@@ -226,7 +229,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	affected := strings.Contains(r.URL.Path, f.Route) && inFlight > f.AboveConcurrency
-	if gttimer.Sleep(r.Context(), b.serviceTime(f, affected)) != nil {
+	if gttimer.Sleep(r.Context(), b.serviceTime(r, string(body), f, affected)) != nil {
 		return
 	}
 	if b.Call != nil {
@@ -293,10 +296,13 @@
 	}
 }
 
-// serviceTime returns a random service time, with the delay of the faults added
-// if affected is set.
-func (b *Backend) serviceTime(f BackendFaults, affected bool) time.Duration {
+// serviceTime returns the service time of a request, which is random unless
+// ServiceTimeOf is set, with the delay of the faults added if affected is set.
+func (b *Backend) serviceTime(r *http.Request, body string, f BackendFaults, affected bool) time.Duration {
 	d := time.Duration(float64(b.ServiceTime) * (1 + b.Jitter*(2*rand.Float64()-1)))
+	if b.ServiceTimeOf != nil {
+		d = b.ServiceTimeOf(r.URL.Path, body+r.URL.RawQuery)
+	}
 	if affected {
 		d += time.Duration(f.SlowMS) * time.Millisecond
 	}
--- a/io/process/gtsoak/callers.go
+++ b/io/process/gtsoak/callers.go
@@ -15,8 +15,6 @@
 const (
 	// callTimeout bounds the time of one attempt.
 	callTimeout = 5 * time.Second
-	// maxResends is how often a caller resends a request with an idempotency key.
-	maxResends = 3
 	// resendDelay is the wait before each resend.
 	resendDelay = 150 * time.Millisecond
 )
@@ -25,6 +23,7 @@
 // key.
 type call struct {
 	method   string
+	timeout  time.Duration // of its route
 	keyed    bool
 	attempts []attempt
 }
@@ -41,6 +40,10 @@
 
 // callers sends requests to all sites and records the outcomes.
 type callers struct {
+	routes  []loadRoute     // set before start
+	resends int             // of a request with an idempotency key, at most; set before start
+	onError func(err error) // called with the error of each attempt; set before start
+
 	mu       sync.Mutex
 	finished []call
 }
@@ -64,37 +67,51 @@
 // them GET, a quarter POST, and a quarter POST with an idempotency key. The first
 // attempt goes to site i, resends go to random sites.
 func (c *callers) run(ctx, runCtx context.Context, i int, edgeURLs []string, rnd *rand.Rand, interval time.Duration) {
-	get := &gtcluster.Load{Method: "GET", Path: "/lending/x", Timeout: callTimeout}
-	post := &gtcluster.Load{Method: "POST", Path: "/lending/x", Timeout: callTimeout}
-	keyed := &gtcluster.Load{Method: "POST", Path: "/lending/x", Timeout: callTimeout, Keyed: true}
-	for _, l := range []*gtcluster.Load{get, post, keyed} {
-		l.CreateClient()
-	}
+	loads := c.loads()
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for n := 0; gttimer.Sleep(ctx, time.Duration(rnd.ExpFloat64()*float64(interval))) == nil; n++ {
-		load, body := get, fmt.Sprintf("c%d.%d.", i, n)
-		switch n % 4 {
-		case 1:
-			load = post
-		case 2:
-			load = keyed
-		}
+		body := fmt.Sprintf("c%d.%d.", i, n)
+		route := n / callsOfRound % len(c.routes)
+		load, timeout := loads[route][n%callsOfRound], c.routes[route].timeout
 		targets := []int{i}
-		for range maxResends {
+		for range c.resends {
 			targets = append(targets, rnd.IntN(len(edgeURLs)))
 		}
-		wg.Go(func() { c.addFinished(c.perform(runCtx, load, body, edgeURLs, targets)) })
+		wg.Go(func() { c.addFinished(c.perform(runCtx, load, timeout, body, edgeURLs, targets)) })
+	}
+}
+
+// callsOfRound is the number of calls in a round: two GET, a POST and a POST with an
+// idempotency key, to one route.
+const callsOfRound = 4
+
+// loads returns the calls of a round for each route, with connections of their own.
+func (c *callers) loads() [][callsOfRound]*gtcluster.Load {
+	var out [][callsOfRound]*gtcluster.Load
+	for _, route := range c.routes {
+		path := route.path + "/x"
+		get := &gtcluster.Load{Method: "GET", Path: path, Timeout: callTimeout}
+		post := &gtcluster.Load{Method: "POST", Path: path, Timeout: callTimeout}
+		keyed := &gtcluster.Load{Method: "POST", Path: path, Timeout: callTimeout, Keyed: true}
+		for _, l := range []*gtcluster.Load{get, post, keyed} {
+			l.CreateClient()
+		}
+		out = append(out, [callsOfRound]*gtcluster.Load{get, post, keyed, get})
 	}
+	return out
 }
 
 // perform sends a request to the first target. With an idempotency key it resends
 // the request to the next targets until a backend server has responded.
-func (c *callers) perform(runCtx context.Context, load *gtcluster.Load, body string, edgeURLs []string, targets []int) call {
-	out := call{method: load.Method, keyed: load.Keyed}
+func (c *callers) perform(runCtx context.Context, load *gtcluster.Load, timeout time.Duration, body string, edgeURLs []string, targets []int) call {
+	out := call{method: load.Method, timeout: timeout, keyed: load.Keyed}
 	for i, site := range targets {
 		a := attempt{site, load.Send(edgeURLs[site], body, i > 0)}
 		out.attempts = append(out.attempts, a)
+		if c.onError != nil && a.Err != nil {
+			c.onError(a.Err)
+		}
 		if !load.Keyed || a.Status != 0 && a.Kind == "" {
 			break
 		}
--- a/io/process/gtsoak/check.go
+++ b/io/process/gtsoak/check.go
@@ -17,17 +17,17 @@
 // logs, and reports each violated guarantee. No faults were active after
 // faultsEnded.
 func (r *soakRun) checkGuarantees(faultsEnded time.Time) {
-	executions := r.countExecutions()
+	executions := r.executions()
 	r.report.Calls = map[string]int{}
 	for _, c := range r.calls.finishedCalls() {
 		r.countOutcome(c)
 		r.checkResponseMatches(c)
 		if c.method == "POST" {
-			r.checkAtMostOnce(c, executions[c.attempts[0].Body])
+			r.checkAtMostOnce(c, len(executions[c.attempts[0].Body]))
 		}
 		r.checkGracefulStops(c)
 		if r.soak.Stops {
-			r.checkNothingBrokenOff(c)
+			r.checkNothingBrokenOff(c, executions[c.attempts[0].Body])
 		}
 		if last := c.attempts[len(c.attempts)-1]; c.attempts[0].SentAt.After(faultsEnded) && !last.OK() {
 			r.reportViolation("after the faults ended, a %s request to %s got: %s", c.method, r.sites[last.site].name, outcome(last))
@@ -36,15 +36,22 @@
 	r.checkDrainedZones()
 }
 
-// countExecutions returns the number of executions of each POST request, by its
-// body.
-func (r *soakRun) countExecutions() map[string]int {
-	executions := map[string]int{}
+// ranAt is an execution of a request.
+type ranAt struct {
+	site      *site
+	startedAt time.Time
+}
+
+// executions returns the executions of each request, by its body or query.
+func (r *soakRun) executions() map[string][]ranAt {
+	executions := map[string][]ranAt{}
 	for _, s := range r.sites {
 		for _, e := range s.backend.Executions() {
-			if e.Method == "POST" {
-				executions[e.Body]++
+			body := e.Body
+			if e.Method == "GET" {
+				body = e.Target[strings.LastIndexAny(e.Target, "?&")+1:]
 			}
+			executions[body] = append(executions[body], ranAt{s, e.StartedAt})
 		}
 	}
 	return executions
@@ -112,7 +119,7 @@
 		}
 		target := r.sites[a.site]
 		from, to := a.SentAt.Add(-propagationMargin), a.SentAt.Add(a.Duration)
-		if target.undisturbedExcept("term", from, to) {
+		if target.undisturbedExcept(from, to, "term", "pause") {
 			r.reportViolation("a %s request to %s was cut off at %s, after %s: %v", c.method, target.name, to.Format("15:04:05.000"), a.Duration, a.Err)
 		}
 	}
@@ -124,7 +131,7 @@
 func (r *soakRun) checkDrainedZones() {
 	for _, drain := range r.drainPeriods {
 		for _, s := range r.sites {
-			if s.zone != drain.zone || !s.undisturbedExcept("", drain.from.Add(-propagationMargin), drain.to) {
+			if s.zone != drain.zone || !s.undisturbedExcept(drain.from.Add(-propagationMargin), drain.to) {
 				continue
 			}
 			n := 0
--- a/io/process/gtsoak/plan.go
+++ b/io/process/gtsoak/plan.go
@@ -69,6 +69,13 @@
 		for _, s := range r.sites {
 			r.restartNode(s, seriesDowntime)
 		}
+	case "twice":
+		r.restartTwice(s, f.duration)
+	case "change and term":
+		r.pushChange(func() { r.routeNumber++ })
+		r.restartNode(s, f.duration)
+	case "pause":
+		s.pause(f.duration, r.sleep)
 	case "together":
 		r.restartTogether(f)
 	case "freeze":
--- a/io/process/gtsoak/rollout.go
+++ b/io/process/gtsoak/rollout.go
@@ -43,7 +43,7 @@
 
 // rolloutProfile sets up nodes as the platform's adapter does.
 var rolloutProfile = profile{
-	slots: 12, timeout: 2 * time.Second, fixedLimit: true,
+	slots: 12, fixedLimit: true, proxies: true, routes: []loadRoute{{path: "/lending", timeout: 2 * time.Second}},
 	limitSettings: "[limit]\nlinger = \"2.1s\"\nquiet = \"400ms\"\ndrain = \"5.2s\"\n",
 }
 
@@ -185,7 +185,7 @@
 	go b.run(r.ctx, ln)
 	peers := []string{}
 	for _, known := range r.sites[:min(3, len(r.sites))] {
-		peers = append(peers, known.peer.addr())
+		peers = append(peers, known.peerAddress)
 	}
 	if err := s.writeSettings(r.ctx, r.rollout.Dir, ln.Addr().String(), r.cluster.StoreURL(), peers, rolloutProfile); err != nil {
 		return err
@@ -200,7 +200,7 @@
 func (r *rolloutRun) files() map[string]string {
 	text := ""
 	for _, service := range []string{movedService, otherService} {
-		text += fmt.Sprintf("[service.%s]\ntimeout = %q\n", service, rolloutProfile.timeout)
+		text += fmt.Sprintf("[service.%s]\ntimeout = %q\n", service, rolloutProfile.routes[0].timeout)
 	}
 	text += fmt.Sprintf("[route.reads]\nservice = %q\npath = %q\nrepeat = true\n[route.holds]\nservice = %q\npath = %q\n[route.desk]\nservice = %q\npath = \"/desk\"\n",
 		movedService, readPath, movedService, holdPath, otherService)
--- a/io/process/gtsoak/rolloutcheck.go
+++ b/io/process/gtsoak/rolloutcheck.go
@@ -115,7 +115,7 @@
 // inTouch reports whether a node has been undisturbed for contactTime. The start of a node
 // of the new version is not a disturbance.
 func (r *rolloutRun) inTouch(s *site, at time.Time) bool {
-	return s.undisturbedExcept("", at.Add(-contactTime), at)
+	return s.undisturbedExcept(at.Add(-contactTime), at)
 }
 
 // measureRollback measures how long after its bad answer number MaxBadAnswers the new
--- a/io/process/gtsoak/site.go
+++ b/io/process/gtsoak/site.go
@@ -8,6 +8,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -22,6 +24,10 @@
 const (
 	// stopTimeout bounds the time in which a node has to exit after a signal.
 	stopTimeout = 30 * time.Second
+	// grace is how long after SIGTERM the users' platform sends SIGKILL.
+	grace = 6 * time.Second
+	// lateInGrace is when the last sixth of the grace time begins.
+	lateInGrace = grace * 5 / 6
 )
 
 // site is a backend server in this process with its node in a process of its own,
@@ -35,11 +41,16 @@
 	settingsFile string
 	logFile      string
 	command      []string
-	hop, peer    *proxy
+	hop, peer    *proxy // nil in a run without network faults
+	hopAddress   string // at which other nodes reach the node, as peerAddress
+	peerAddress  string
 	backend      *gtfake.Backend
 	// onExitFailure is called if the process exits without being told to, or doesn't
 	// exit within stopTimeout.
 	onExitFailure func(s *site, err error)
+	// onGraceEnd is called if the process still runs after grace, and is killed; nil
+	// means that stopTimeout bounds the stop.
+	onGraceEnd func(s *site)
 
 	mu           sync.Mutex
 	cmd          *exec.Cmd
@@ -60,9 +71,9 @@
 	hop, peer := gtcluster.FreeAddress(), gtcluster.FreeAddress()
 	edge, admin := gtcluster.FreeAddress(), gtcluster.FreeAddress()
 	s.edgeURL, s.adminAddress = "http://"+edge, admin
-	s.hop, s.peer = &proxy{ctx: ctx, target: hop}, &proxy{ctx: ctx, target: peer}
-	for _, p := range []*proxy{s.hop, s.peer} {
-		if err := p.listen(); err != nil {
+	s.hopAddress, s.peerAddress = hop, peer
+	if p.proxies {
+		if err := s.startProxies(ctx); err != nil {
 			return errorx.Decorate(err, "start a proxy for fault injection")
 		}
 	}
@@ -71,7 +82,7 @@
 		return errorx.Decorate(err, "encode the list of peers")
 	}
 	text := fmt.Sprintf("[node]\ninstance = %q\nzone = %q\npeers = %s\n[listen]\nedge = %q\nhop = %q\npeer = %q\nadmin = %q\n[tell]\nhop = %q\npeer = %q\n[backend]\naddress = %q\nservice = %q\nversion = %q\nslots = %d\nfixed = %t\n[store]\nendpoint = %q\n%s",
-		s.name, s.zone, list, edge, hop, peer, admin, s.hop.addr(), s.peer.addr(), backend, s.service, s.version, p.slots, p.fixedLimit, store, p.limitSettings)
+		s.name, s.zone, list, edge, hop, peer, admin, s.hopAddress, s.peerAddress, backend, s.service, s.version, p.slots, p.fixedLimit, store, p.limitSettings)
 	s.settingsFile, s.logFile = filepath.Join(dir, s.name+".toml"), filepath.Join(dir, s.name+".log")
 	if err := os.WriteFile(s.settingsFile, []byte(text), 0o600); err != nil {
 		return errorx.Decorate(err, "write the settings file of a node")
@@ -79,6 +90,26 @@
 	return nil
 }
 
+// startProxies puts a proxy in front of the node's hop and peer ports.
+func (s *site) startProxies(ctx context.Context) error {
+	s.hop, s.peer = &proxy{ctx: ctx, target: s.hopAddress}, &proxy{ctx: ctx, target: s.peerAddress}
+	for _, p := range []*proxy{s.hop, s.peer} {
+		if err := p.listen(); err != nil {
+			return err
+		}
+	}
+	s.hopAddress, s.peerAddress = s.hop.addr(), s.peer.addr()
+	return nil
+}
+
+// closeProxies closes the proxies, if there are any.
+func (s *site) closeProxies() {
+	if s.hop != nil {
+		s.hop.close()
+		s.peer.close()
+	}
+}
+
 // start starts the node's process, unless it is running already, and appends its
 // output to the log file.
 func (s *site) start() error {
@@ -132,10 +163,16 @@
 	if !expectExit {
 		return
 	}
+	timeout, onTimeout := stopTimeout, func() {
+		s.onExitFailure(s, errorx.TimeoutElapsed.New("process still runs %s after signal %s", stopTimeout, sig))
+	}
+	if s.onGraceEnd != nil {
+		timeout, onTimeout = grace, func() { s.onGraceEnd(s) }
+	}
 	select {
 	case <-done:
-	case <-time.After(stopTimeout):
-		s.onExitFailure(s, errorx.TimeoutElapsed.New("process still runs %s after signal %s", stopTimeout, sig))
+	case <-time.After(timeout):
+		onTimeout()
 		_ = cmd.Process.Kill()
 		<-done
 	}
@@ -151,6 +188,19 @@
 	return s.cmd.Process.Pid
 }
 
+// pause stops the node's process by SIGSTOP for d, unless that would last until the end of
+// its grace time: such a process can keep no promise.
+func (s *site) pause(d time.Duration, sleep func(time.Duration)) {
+	end := time.Now().Add(d)
+	if begun, ok := s.stopBegun(end); ok && end.After(begun.Add(lateInGrace)) {
+		return
+	}
+	defer s.beginDisturbance("pause")()
+	s.signal(syscall.SIGSTOP, false)
+	sleep(d)
+	s.signal(syscall.SIGCONT, false)
+}
+
 // beginDisturbance records a disturbance that begins now. The returned function
 // ends it.
 func (s *site) beginDisturbance(kind string) func() {
@@ -166,19 +216,45 @@
 }
 
 // undisturbedExcept reports whether no disturbance other than those of the given
-// kind overlaps the period between two times. An empty kind exempts none.
-func (s *site) undisturbedExcept(kind string, from, to time.Time) bool {
+// kinds overlaps the period between two times.
+func (s *site) undisturbedExcept(from, to time.Time, kinds ...string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, d := range s.disturbances {
 		endsAfter := d.to.IsZero() || d.to.After(from)
-		if d.kind != kind && d.from.Before(to) && endsAfter {
+		if !slices.Contains(kinds, d.kind) && d.from.Before(to) && endsAfter {
 			return false
 		}
 	}
 	return true
 }
 
+// stopBegun returns when the stop that was under way at a time began, or false if none was.
+func (s *site) stopBegun(t time.Time) (time.Time, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, d := range s.disturbances {
+		if d.kind == "term" && !d.from.After(t) && (d.to.IsZero() || d.to.After(t)) {
+			return d.from, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// disturbedAt returns the kinds of the disturbances at a time, each with the time since its
+// begin.
+func (s *site) disturbedAt(t time.Time) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var kinds []string
+	for _, d := range s.disturbances {
+		if !d.from.After(t) && (d.to.IsZero() || d.to.After(t)) {
+			kinds = append(kinds, d.kind+"+"+t.Sub(d.from).Round(time.Millisecond).String())
+		}
+	}
+	return strings.Join(kinds, " ")
+}
+
 // fetchStatus returns the node's status page, or false if the node doesn't respond
 // within a second.
 func (s *site) fetchStatus() (gtnode.Status, bool) {
--- a/io/process/gtsoak/soak.go
+++ b/io/process/gtsoak/soak.go
@@ -15,9 +15,12 @@
 package gtsoak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -70,8 +73,13 @@
 	Sites int
 	// Stops plans stops of nodes in place of faults, under requests that take long.
 	Stops bool
-	// Busy is the number of goroutines that only compute while faults are injected.
+	// Pauses pauses nodes for moments in a run of planned stops, as if they were short of
+	// processor time.
+	Pauses bool
+	// Busy is the number of processes that only compute while faults are injected.
 	Busy int
+	// MaxFiles is the largest number of open files of this process; 0 means its limit.
+	MaxFiles int
 }
 
 // Report is the result of a soak test. Faults is the number of injected faults, and
@@ -83,6 +91,8 @@
 	// PropagationMS is the time in milliseconds, after the faults ended, until the
 	// last configuration was active on all nodes.
 	PropagationMS int64 `json:"force"`
+	// Files is the largest number of open files of this process.
+	Files int `json:"files"`
 	// Violations describes the violations of guarantees, and TooSlow the operations
 	// that exceeded their time limits.
 	Violations []string `json:"broken"`
@@ -99,6 +109,8 @@
 type soakRun struct {
 	soak    *Soak
 	ctx     context.Context
+	files   *fileGuard
+	calm    atomic.Bool // planned work has ended
 	cluster *gtcluster.Cluster
 	sites   []*site
 	calls   callers
@@ -113,12 +125,32 @@
 }
 
 // Run runs the soak test and returns its report. It returns an error if the nodes
-// or the stand-ins can't be started, or if ctx ends first; violated guarantees
-// are in the report only.
+// or the stand-ins can't be started, if this process has too many files open, or if ctx
+// ends first; violated guarantees are in the report only.
 func (s *Soak) Run(ctx context.Context) (Report, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	r := &soakRun{soak: s, ctx: ctx, cluster: &gtcluster.Cluster{Log: zerolog.Nop()}, zoneDrains: map[string]int{}, report: Report{Seed: s.Seed}}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	limit, err := fileLimit()
+	if err != nil {
+		return Report{Seed: s.Seed}, err
+	}
+	if s.MaxFiles > 0 {
+		limit = s.MaxFiles
+	}
+	files := &fileGuard{Limit: limit, Count: countFiles, OnLimit: cancel}
+	go files.run(ctx)
+	r := &soakRun{soak: s, ctx: ctx, files: files, cluster: &gtcluster.Cluster{Log: zerolog.Nop()}, zoneDrains: map[string]int{}, report: Report{Seed: s.Seed}}
+	report, err := r.run()
+	report.Files = files.peakFiles()
+	if cause := context.Cause(ctx); cause != nil {
+		return Report{Seed: s.Seed, Files: report.Files}, errorx.Decorate(cause, "run the soak test with seed %d", s.Seed)
+	}
+	return report, err
+}
+
+// run runs the soak test until it ends or its context does.
+func (r *soakRun) run() (Report, error) {
+	s, ctx := r.soak, r.ctx
 	if err := r.cluster.Open(ctx); err != nil {
 		return r.report, err
 	}
@@ -131,16 +163,21 @@
 	if !r.pollUntil(startTimeout, r.converged) {
 		return r.report, errorx.TimeoutElapsed.New("start the nodes: the first configuration isn't active on all of them; see their logs in %s", s.Dir)
 	}
-	stopCallers := r.calls.start(ctx, r.edgeURLs(), s.Seed, s.profile().callInterval)
+	p := s.profile()
+	r.calls.routes, r.calls.resends, r.calls.onError = p.routes, p.resends, r.files.recordError
+	stopCallers := r.calls.start(ctx, r.edgeURLs(), s.Seed, p.callInterval)
 	stopWatching := r.watchVersions()
-	r.injectFaults()
+	if err := r.injectFaults(); err != nil {
+		return r.report, err
+	}
 	r.settle()
+	r.calm.Store(true)
 	faultsEnded := time.Now()
 	r.sleep(faultFreeTime)
 	stopCallers()
 	stopWatching()
 	if err := ctx.Err(); err != nil {
-		return r.report, errorx.Decorate(err, "run the soak test with seed %d", s.Seed)
+		return r.report, err
 	}
 	r.checkGuarantees(faultsEnded)
 	return r.report, nil
@@ -159,14 +196,17 @@
 		s.onExitFailure = func(s *site, err error) {
 			r.reportViolation("node %s exited unexpectedly or failed to stop: %v; its log is %s", s.name, err, s.logFile)
 		}
-		s.backend = &gtfake.Backend{Name: s.name, Slots: 4 * p.slots, ServiceTime: p.serviceTime, Jitter: p.jitter, CrashDowntime: backendDowntime}
+		if r.soak.Stops {
+			s.onGraceEnd = func(s *site) { r.reportSlow("node %s still ran %s after SIGTERM and was killed", s.name, grace) }
+		}
+		s.backend = &gtfake.Backend{ServiceTimeOf: r.serviceTimeOf(p), Name: s.name, Slots: 4 * p.slots, ServiceTime: p.serviceTime, Jitter: p.jitter, CrashDowntime: backendDowntime}
 		go func() { _ = s.backend.Run(r.ctx, ln) }()
 		if err := s.writeSettings(r.ctx, r.soak.Dir, ln.Addr().String(), r.cluster.StoreURL(), peers, p); err != nil {
 			return err
 		}
 		r.sites = append(r.sites, s)
 		if len(peers) < 3 {
-			peers = append(peers, s.peer.addr())
+			peers = append(peers, s.peerAddress)
 		}
 		if err := s.start(); err != nil {
 			return err
@@ -175,6 +215,22 @@
 	return nil
 }
 
+// serviceTimeOf returns the function for the service times of the backend servers, or nil if
+// they don't depend on the request.
+func (r *soakRun) serviceTimeOf(p profile) func(path, body string) time.Duration {
+	if p.serviceTime > 0 {
+		return nil
+	}
+	return func(path, body string) time.Duration {
+		for _, route := range p.routes {
+			if strings.HasPrefix(path, route.path) {
+				return route.serviceTime(body, r.calm.Load())
+			}
+		}
+		return 0
+	}
+}
+
 func (r *soakRun) edgeURLs() []string {
 	var urls []string
 	for _, s := range r.sites {
@@ -186,26 +242,36 @@
 // plan returns the faults of the run.
 func (s *Soak) plan() []fault {
 	if s.Stops {
-		return planStops(s.Seed, s.FaultTime, s.Sites)
+		stops := planStops(s.Seed, s.FaultTime, s.Sites)
+		if s.Pauses {
+			stops = append(stops, planPauses(s.Seed, s.FaultTime, s.Sites)...)
+			slices.SortFunc(stops, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
+		}
+		return stops
 	}
 	return planFaults(s.Seed, s.FaultTime, s.Sites)
 }
 
 // injectFaults injects all planned faults, each in its own goroutine, and waits
 // until they have ended.
-func (r *soakRun) injectFaults() {
+func (r *soakRun) injectFaults() error {
+	stopBusy, err := startBusy(r.soak.Busy)
+	if err != nil {
+		return err
+	}
+	defer stopBusy()
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	defer startBusy(r.soak.Busy)()
 	start := time.Now()
 	for _, f := range r.soak.plan() {
 		r.sleep(f.at - time.Since(start))
-		if r.ctx.Err() != nil {
-			return
+		if err := r.ctx.Err(); err != nil {
+			return err
 		}
 		r.report.Faults++
 		wg.Go(func() { r.inject(f) })
 	}
+	return nil
 }
 
 // settle undoes what overlapping faults can leave behind: it resumes paused nodes,
@@ -240,8 +306,7 @@
 	r.mu.Unlock()
 	for _, s := range r.sites {
 		s.signal(syscall.SIGKILL, true)
-		s.hop.close()
-		s.peer.close()
+		s.closeProxies()
 	}
 }
 
@@ -262,7 +327,11 @@
 
 // configFiles returns the files of the configuration folder by name.
 func (r *soakRun) configFiles() map[string]string {
-	text := "[service.lending]\nversion = \"1\"\ntimeout = \"" + r.soak.profile().timeout.String() + "\"\n[route.holds]\nservice = \"lending\"\npath = \"/lending\"\n"
+	routes := r.soak.profile().routes
+	text := fmt.Sprintf("[service.lending]\nversion = \"1\"\ntimeout = %q\n", routes[0].timeout)
+	for _, route := range routes {
+		text += fmt.Sprintf("[route.%s]\nservice = \"lending\"\npath = %q\ntimeout = %q\n", strings.Trim(route.path, "/"), route.path, route.timeout)
+	}
 	text += fmt.Sprintf("[route.n%d]\nservice = \"lending\"\npath = \"/n%d\"\n", r.routeNumber, r.routeNumber)
 	for _, zone := range []string{"z1", "z2", "z3"} {
 		if r.zoneDrains[zone] > 0 {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -86,6 +86,25 @@
 	gomega.NewWithT(t).Expect(report.Violations).To(gomega.BeEmpty())
 }
 
+// TestPausesBreakOffNoRequest pauses nodes in their stops and beside them, as if they were
+// short of processor time.
+func TestPausesBreakOffNoRequest(t *testing.T) {
+	t.Parallel()
+	report := runPlanned(t, &gtsoak.Soak{Seed: 1, FaultTime: 2 * faultTime, Sites: 2 * sites, Stops: true, Pauses: true}, "godwittide", "node")
+	gomega.NewWithT(t).Expect(report.Violations).To(gomega.BeEmpty())
+}
+
+// A run that met the limit of open files of its own process reported hundreds of violations
+// that were its own: callers and stand-ins could open no connection.
+func TestRunAtItsFileLimitFailsAndReportsNoViolations(t *testing.T) {
+	t.Parallel()
+	g := gomega.NewWithT(t)
+	soak := &gtsoak.Soak{Seed: 1, FaultTime: faultTime, Sites: sites, MaxFiles: 60, NodeCommand: []string{filepath.Join(programDir, "godwittide"), "node"}, Dir: t.TempDir()}
+	report, err := soak.Run(t.Context())
+	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("files open")))
+	g.Expect(report.Violations).To(gomega.BeEmpty())
+}
+
 // TestPlantedFaultsAreDetected checks that the soak test detects each fault that
 // godwitstand plant puts into a node.
 func TestPlantedFaultsAreDetected(t *testing.T) {
