gtnode: a call that would outlast the stop runs on another instance

Callers got 502 'cut', certainty unknown, for a POST of 4 s whose node was not stopping: the node beside the backend server was, and broke it off at the end of its drain.

Cause: callers' requests begin only if they end before the drain does; calls of peers began whatever their deadline, as long as the node had not announced that it leaves.

Now such a call is refused as not run if another instance is ready; the peer then sends it there. test/mesh 'breaks off no request of a peer at the end of a stop' failed before: 279 ok, 1 '502 cut'.

--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -289,7 +289,7 @@
 	n.localBackend = &gthop.LocalBackend{
 		Now: now, Self: n.table.Self, Address: cfg.Backend.Address, MaxBufferBytes: cfg.Limit.MaxBufferBytes, Pool: n.backendPool,
 		Gate: n.gate, Keys: n.dedup, Crashes: n.crashes, Outcomes: n.outcomes,
-		HistoryKnown: n.dedupHistoryKnown, OnCrash: n.announceCrash, CheckDown: n.probeDown, MayRun: n.checkVersion, ReadyAt: n.backend.readyTime, Trace: n.tracer.Start,
+		HistoryKnown: n.dedupHistoryKnown, OnCrash: n.announceCrash, CheckDown: n.probeDown, MayRun: n.mayRun, ReadyAt: n.backend.readyTime, Trace: n.tracer.Start,
 		Dialect: n.Dialect, OnResult: n.logBackendCall, OnOmitted: n.countOmitted,
 	}
 	if n.Heartbeats != nil {
--- a/test/mesh/member_test.go
+++ b/test/mesh/member_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"strings"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -9,6 +10,7 @@
 	"godwittide/core/connection/gtlink"
 	"godwittide/core/process/gtmember"
 	"godwittide/io/process/gtcluster"
+	"godwittide/io/process/gtsettings"
 )
 
 const (
@@ -55,6 +57,27 @@
 		gomega.Expect(countOutcomes(results)).To(gomega.Equal(map[string]int{"ok": len(results)}))
 	})
 
+	// A node that stopped broke off requests that peers had sent to it early in its stop,
+	// with a deadline after its end; their callers got 502 "cut" (LOST).
+	it("breaks off no request of a peer at the end of a stop", func() {
+		cluster := newCluster()
+		spec := gtcluster.SiteSpec{Service: "lending", Version: "1", ServiceTime: 3800 * time.Millisecond, Slots: 100}
+		spec.EditSettings = func(s *gtsettings.Settings) {
+			s.Backend.FixedLimit = true
+			s.Limit.LingerPeriod, s.Limit.RefusePeriod = gtsettings.Duration(2100*time.Millisecond), gtsettings.Duration(400*time.Millisecond)
+			s.Limit.DrainTimeout = gtsettings.Duration(5200 * time.Millisecond)
+		}
+		sites := addSites(cluster, 2, spec, "z1", "z2")
+		pushConfig(cluster, map[string]string{"10-base.toml": strings.Replace(baseConfig, "2s", "4s", 1)})
+		load := &gtcluster.Load{Method: "POST", Path: "/lending/x", Rate: 40, EdgeURLs: edgeURLs(sites[1:])}
+		results := runLoadDuring(load, func() {
+			sleep(time.Second)
+			sites[0].Node().Drain()
+			sleep(6 * time.Second)
+		})
+		gomega.Expect(countOutcomes(results)).To(gomega.Equal(map[string]int{"ok": len(results)}))
+	})
+
 	it("detects a crash within seconds and lets the instance rejoin", func() {
 		cluster := newCluster()
 		sites := addSites(cluster, 2, lendingSpec, "z1", "z2")
