--- a/io/process/gtsoak/check.go
+++ b/io/process/gtsoak/check.go
@@ -25,7 +25,7 @@
 		if c.method == "POST" {
 			r.checkAtMostOnce(c, len(executions[c.attempts[0].Body]))
 		}
-		r.checkGracefulStops(c)
+		r.checkGracefulStops(c, executions[c.attempts[0].Body])
 		if r.soak.Stops {
 			r.checkNothingBrokenOff(c, executions[c.attempts[0].Body])
 		}
@@ -112,9 +112,9 @@
 // checkGracefulStops checks that no request was cut off at a site that was either
 // undisturbed or stopped gracefully. Refused connections and timeouts are allowed,
 // and so are requests to a site that another fault disturbed.
-func (r *soakRun) checkGracefulStops(c call) {
+func (r *soakRun) checkGracefulStops(c call, ran []ranAt) {
 	for _, a := range c.attempts {
-		if a.Status != 0 || errors.Is(a.Err, syscall.ECONNREFUSED) || strings.Contains(fmt.Sprint(a.Err), "deadline") {
+		if a.Status != 0 || errors.Is(a.Err, syscall.ECONNREFUSED) || strings.Contains(fmt.Sprint(a.Err), "deadline") || r.lostByNoNode(a, ran) {
 			continue
 		}
 		target := r.sites[a.site]
