gtretry: an attempt is given up only if another has its usual time

Callers got 504 for requests that may be repeated, whose backend servers would have answered in time, after a span in which nothing was received.

Cause: after 1.8 s of silence an attempt was given up if 300 ms were left for another, whatever requests of the route take.

--- a/core/request/gtretry/retry.go
+++ b/core/request/gtretry/retry.go
@@ -35,11 +35,13 @@
 	// minTimeAfterSilence is the time that has to remain for a retry in place of an
 	// attempt that may still be at work.
 	minTimeAfterSilence = 300 * time.Millisecond
+	// durationWeight is the weight of a new duration in the mean of its route.
+	durationWeight = 1.0 / 16
 )
 
 // Attempt describes a failed attempt for the decision whether to retry.
 type Attempt struct {
-	service        string
+	service, route string
 	kind           gtkind.Kind
 	count          int
 	idempotent     bool
@@ -55,6 +57,12 @@
 	return Attempt{service: service, kind: k, count: count, remaining: remaining}
 }
 
+// WithRoute returns a copy with the name of the request's route.
+func (a Attempt) WithRoute(route string) Attempt {
+	a.route = route
+	return a
+}
+
 // WithIdempotent returns a copy that records whether the request is idempotent.
 func (a Attempt) WithIdempotent(idempotent bool) Attempt {
 	a.idempotent = idempotent
@@ -76,12 +84,14 @@
 	return a
 }
 
-// Policy decides about retries and holds the retry budgets, sharded by service.
+// Policy decides about retries. It holds the retry budgets, sharded by service, and the mean
+// durations of successful attempts, sharded by route.
 type Policy struct {
 	// Now returns the time of the timer service's clock. It is set before use.
 	Now func() time.Time
 
-	budgets gtshard.Map[*budget]
+	budgets   gtshard.Map[*budget]
+	durations gtshard.Map[time.Duration]
 }
 
 // budget is a token bucket; each token allows one retry.
@@ -96,6 +106,28 @@
 	p.updateBudget(service, func(b *budget) { b.tokens = min(b.tokens+tokensPerFirstAttempt, maxTokens) })
 }
 
+// RecordDuration records how long a successful attempt took.
+func (p *Policy) RecordDuration(route string, d time.Duration) {
+	p.durations.Do(route, func(m map[string]time.Duration) {
+		mean, ok := m[route]
+		if !ok {
+			mean = d
+		}
+		m[route] = mean + time.Duration(durationWeight*float64(d-mean))
+	})
+}
+
+// Prune drops the state of the routes for which keep returns false.
+func (p *Policy) Prune(keep func(route string) bool) {
+	p.durations.Each(func(m map[string]time.Duration) {
+		for route := range m {
+			if !keep(route) {
+				delete(m, route)
+			}
+		}
+	})
+}
+
 // ShouldRetry reports whether to retry on another backend server. It takes a
 // token from the budget if the failed attempt may have cost a backend server
 // work, or shows that the server is short of capacity.
@@ -108,9 +140,10 @@
 
 // MayGiveUp reports whether an attempt on which nothing is received, and which may be at
 // work, may be given up for a retry on another backend server: the retry is allowed, and
-// has time to complete. Otherwise the response is worth waiting for.
+// has the time that an attempt usually takes. Otherwise the response is worth waiting for.
 func (p *Policy) MayGiveUp(a Attempt) bool {
-	if a.remaining < minTimeAfterSilence || !a.mayBeRetried() {
+	usual, _ := p.durations.Get(a.route)
+	if a.remaining < max(usual, minTimeAfterSilence) || !a.mayBeRetried() {
 		return false
 	}
 	return !a.kind.Row().UsesRetryBudget() || p.hasToken(a.service)
--- a/core/request/gtretry/retry_test.go
+++ b/core/request/gtretry/retry_test.go
@@ -81,3 +81,27 @@
 	g.Expect(p.MayGiveUp(silent)).To(gomega.BeFalse(), "the budget is used up")
 	g.Expect(p.ShouldRetry(silent)).To(gomega.BeFalse())
 }
+
+// A request at work was given up for another attempt that had no time to complete: callers
+// got 504 where the first response would have come (LOST).
+func TestSilentAttemptIsNotGivenUpWithoutTheUsualTime(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := &Policy{Now: func() time.Time { return time.Unix(1000, 0) }}
+	p.RecordFirstAttempt("s")
+	silent := func(remaining time.Duration) Attempt {
+		return NewAttempt("s", gtkind.Unresponsive, 1, remaining).WithRoute("r").WithIdempotent(true)
+	}
+	g.Expect(p.MayGiveUp(silent(minTimeAfterSilence))).To(gomega.BeTrue(), "nothing is known of the route")
+	p.RecordDuration("r", 1200*time.Millisecond)
+	p.RecordDuration("other", time.Millisecond)
+	g.Expect(p.MayGiveUp(silent(time.Second))).To(gomega.BeFalse())
+	g.Expect(p.MayGiveUp(silent(1200 * time.Millisecond))).To(gomega.BeTrue())
+	for range 200 {
+		p.RecordDuration("r", 10*time.Millisecond)
+	}
+	g.Expect(p.MayGiveUp(silent(minTimeAfterSilence))).To(gomega.BeTrue(), "the route has become fast")
+	g.Expect(p.MayGiveUp(silent(minTimeAfterSilence - 1))).To(gomega.BeFalse())
+	p.RecordDuration("r", time.Hour)
+	p.Prune(func(route string) bool { return route == "other" })
+	g.Expect(p.MayGiveUp(silent(minTimeAfterSilence))).To(gomega.BeTrue(), "the route was removed")
+}
--- a/io/request/gtedge/edge.go
+++ b/io/request/gtedge/edge.go
@@ -220,7 +220,11 @@
 }
 
 // Expire deletes the state of routes that the active configuration no longer has.
-func (e *Edge) Expire() { e.Split.Prune(e.Holder.Current().Config().HasRoute) }
+func (e *Edge) Expire() {
+	hasRoute := e.Holder.Current().Config().HasRoute
+	e.Split.Prune(hasRoute)
+	e.Retry.Prune(hasRoute)
+}
 
 // newID returns an ID for a request that has none.
 func (e *Edge) newID() string { return e.IDPrefix + strconv.FormatUint(e.seq.Add(1), 36) }
@@ -291,7 +295,7 @@
 // reached a backend server, as one that fails now with kind k.
 func (e *Edge) failedAttempt(c gtcall.Call, k gtkind.Kind, count, reached int) gtretry.Attempt {
 	failed := gtretry.NewAttempt(c.Service(), k, count, c.Deadline().Sub(e.Now()))
-	return failed.WithIdempotent(c.Idempotent()).WithRetry(c.IsRetry()).WithServersReached(reached, c.MaxBackends())
+	return failed.WithRoute(c.Route()).WithIdempotent(c.Idempotent()).WithRetry(c.IsRetry()).WithServersReached(reached, c.MaxBackends())
 }
 
 // mayGiveUp reports whether the last of count attempts, on which nothing is received, may
@@ -351,7 +355,11 @@
 		load = e.LocalBackend.Gate.Load(c.Route())
 	}
 	e.Router.End(to.Instance(), c.Route(), k, load)
-	e.recordOutcome(c, to, resp, k, e.Now().Sub(start))
+	d := e.Now().Sub(start)
+	e.recordOutcome(c, to, resp, k, d)
+	if k == gtkind.None {
+		e.Retry.RecordDuration(c.Route(), d)
+	}
 	if k == gtkind.Crashed && to.Instance() != e.Self {
 		e.OnCrash(gtdedup.NewCrash(c.Fingerprint(), c.Crashes()+1, !c.Idempotent(), e.Now().Add(gtdedup.CrashWindow)))
 	}
