gtsoak: a finding of a stop tells a starved node from a blocked one

A node that is killed 6 s after its SIGTERM is reported with the states of its threads, and with the time that they ran and waited for a processor.

--- a/io/process/gtsoak/check.go
+++ b/io/process/gtsoak/check.go
@@ -25,9 +25,10 @@
 		if c.method == "POST" {
 			r.checkAtMostOnce(c, len(executions[c.attempts[0].Body]))
 		}
-		r.checkGracefulStops(c, executions[c.attempts[0].Body])
 		if r.soak.Stops {
 			r.checkNothingBrokenOff(c, executions[c.attempts[0].Body])
+		} else {
+			r.checkGracefulStops(c)
 		}
 		if last := c.attempts[len(c.attempts)-1]; c.attempts[0].SentAt.After(faultsEnded) && !last.OK() {
 			r.reportViolation("after the faults ended, a %s request to %s got: %s", c.method, r.sites[last.site].name, outcome(last))
@@ -112,9 +113,9 @@
 // checkGracefulStops checks that no request was cut off at a site that was either
 // undisturbed or stopped gracefully. Refused connections and timeouts are allowed,
 // and so are requests to a site that another fault disturbed.
-func (r *soakRun) checkGracefulStops(c call, ran []ranAt) {
+func (r *soakRun) checkGracefulStops(c call) {
 	for _, a := range c.attempts {
-		if a.Status != 0 || errors.Is(a.Err, syscall.ECONNREFUSED) || strings.Contains(fmt.Sprint(a.Err), "deadline") || r.lostByNoNode(a, ran) {
+		if a.Status != 0 || errors.Is(a.Err, syscall.ECONNREFUSED) || strings.Contains(fmt.Sprint(a.Err), "deadline") {
 			continue
 		}
 		target := r.sites[a.site]
--- a/io/process/gtsoak/site.go
+++ b/io/process/gtsoak/site.go
@@ -49,8 +49,8 @@
 	// exit within stopTimeout.
 	onExitFailure func(s *site, err error)
 	// onGraceEnd is called if the process still runs after grace, and is killed; nil
-	// means that stopTimeout bounds the stop.
-	onGraceEnd func(s *site)
+	// means that stopTimeout bounds the stop. threads describes what it did meanwhile.
+	onGraceEnd func(s *site, threads string)
 
 	mu           sync.Mutex
 	cmd          *exec.Cmd
@@ -167,7 +167,8 @@
 		s.onExitFailure(s, errorx.TimeoutElapsed.New("process still runs %s after signal %s", stopTimeout, sig))
 	}
 	if s.onGraceEnd != nil {
-		timeout, onTimeout = grace, func() { s.onGraceEnd(s) }
+		before := threadsOf(cmd.Process.Pid)
+		timeout, onTimeout = grace, func() { s.onGraceEnd(s, threadsOf(cmd.Process.Pid).since(before)) }
 	}
 	select {
 	case <-done:
--- a/io/process/gtsoak/soak.go
+++ b/io/process/gtsoak/soak.go
@@ -197,7 +197,9 @@
 			r.reportViolation("node %s exited unexpectedly or failed to stop: %v; its log is %s", s.name, err, s.logFile)
 		}
 		if r.soak.Stops {
-			s.onGraceEnd = func(s *site) { r.reportSlow("node %s still ran %s after SIGTERM and was killed", s.name, grace) }
+			s.onGraceEnd = func(s *site, threads string) {
+				r.reportSlow("node %s still ran %s after SIGTERM and was killed at %s: %s", s.name, grace, time.Now().Format("15:04:05.000"), threads)
+			}
 		}
 		s.backend = &gtfake.Backend{ServiceTimeOf: r.serviceTimeOf(p), Name: s.name, Slots: 4 * p.slots, ServiceTime: p.serviceTime, Jitter: p.jitter, CrashDowntime: backendDowntime}
 		go func() { _ = s.backend.Run(r.ctx, ln) }()
--- a/io/process/gtsoak/stops.go
+++ b/io/process/gtsoak/stops.go
@@ -138,7 +138,7 @@
 	defer wg.Wait()
 	wg.Go(func() { r.restartNode(s, downtime) })
 	r.sleep(downtime)
-	s.signal(syscall.SIGTERM, false)
+	wg.Go(func() { r.restartNode(s, downtime) })
 }
 
 // restartTogether restarts some nodes at the same moment.
@@ -160,7 +160,8 @@
 		case a.Status != 0 && (a.Kind == "" || a.saysNotRun()):
 		case a.Kind == gtkind.OutcomeUnknown.String(): // of a key whose first request ran elsewhere
 		case a.Status == 0 && errors.Is(a.Err, syscall.ECONNREFUSED):
-		case r.lostByNoNode(a, ran):
+		case a.crossedClose() && len(ran) == 0:
+		case r.outlastedGrace(a, ran):
 		default:
 			r.reportViolation("a %s request %s to %s was broken off at %s, after %s of %s: %s, %v; %s", c.method, strings.TrimSpace(a.Body), r.sites[a.site].name,
 				a.SentAt.Add(a.Duration).Format("15:04:05.000"), a.Duration.Round(time.Millisecond), c.timeout, outcome(a), a.Err, r.stage(a, ran))
@@ -168,12 +169,6 @@
 	}
 }
 
-// lostByNoNode reports whether a request without a response crossed the close of its
-// connection and did not run, or outlasted the grace time.
-func (r *soakRun) lostByNoNode(a attempt, ran []ranAt) bool {
-	return a.crossedClose() && len(ran) == 0 || r.outlastedGrace(a, ran)
-}
-
 // crossedClose reports whether the client got the notice of the node's close before it sent
 // the request on that connection.
 func (a attempt) crossedClose() bool {
