gtnode: only an instance of the same version takes over from a node that stops

During a move the new version's share is a limit: a call that a stopping node of the old version refuses must find another of the old version, or it is turned away.

--- a/io/process/gtnode/mayrun.go
+++ b/io/process/gtnode/mayrun.go
@@ -21,11 +21,11 @@
 	return n.drain.Begun() && c.Deadline().After(n.timer.Time().Add(n.drain.Left()))
 }
 
-// hasOtherReady reports whether another instance of this node's service is ready.
+// hasOtherReady reports whether another instance of this node's service and version is ready.
 func (n *Node) hasOtherReady() bool {
 	self := n.table.Self()
 	for _, r := range n.table.ServiceMembers(self.Service()) {
-		if r.Instance() != self.Instance() && r.State() == gtmember.Ready {
+		if r.Instance() != self.Instance() && r.Version() == self.Version() && r.State() == gtmember.Ready {
 			return true
 		}
 	}
