gtnode, gthop: one place refuses calls that could outlast a stop

The check before admission stays: there a refusal of a request with an idempotency key is remembered, and requests that may be repeated are moved too, without a token of the retry budget.

--- a/io/process/gtnode/mayrun.go
+++ b/io/process/gtnode/mayrun.go
@@ -7,20 +7,15 @@
 )
 
 // mayRun returns an error with a kind of certainty NotRun if a call may not run on the local
-// backend server.
+// backend server. A call that could outlast the shutdown of this node runs on another
+// instance, if there is one; a node that holds keys remembers that it has refused it.
 func (n *Node) mayRun(c gtcall.Call) error {
-	if n.outlastsShutdown(c) && n.hasOtherReady() {
+	if n.drain.EndsBefore(c.Deadline()) && n.hasOtherReady() {
 		return gtkind.New(gtkind.Leaving, "this node shuts down before the deadline of the request, and other instances are ready")
 	}
 	return n.checkVersion(c)
 }
 
-// outlastsShutdown reports whether the deadline of a call lies beyond the end of this node's
-// shutdown, which would break it off.
-func (n *Node) outlastsShutdown(c gtcall.Call) bool {
-	return n.drain.Begun() && c.Deadline().After(n.timer.Time().Add(n.drain.Left()))
-}
-
 // hasOtherReady reports whether another instance of this node's service and version is ready.
 func (n *Node) hasOtherReady() bool {
 	self := n.table.Self()
--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -295,7 +295,7 @@
 	if n.Heartbeats != nil {
 		n.localBackend.WarmUpEnd = n.backend.warmUpEndTime
 	}
-	n.hopHandler = &gthop.Handler{LocalBackend: n.localBackend, Timer: n.timer, MaxBodyBytes: cfg.Limit.MaxBodyBytes, OnPanic: n.recordPanic, PausedSince: n.timer.PausedSince, MayBegin: n.mayBeginForPeer, Requests: n.requests}
+	n.hopHandler = &gthop.Handler{LocalBackend: n.localBackend, Timer: n.timer, MaxBodyBytes: cfg.Limit.MaxBodyBytes, OnPanic: n.recordPanic, PausedSince: n.timer.PausedSince, Requests: n.requests}
 	client := &gthop.Client{Now: now, Pool: n.hopPool, Dialect: n.Dialect, MaxBufferBytes: cfg.Limit.MaxBufferBytes, Trace: n.tracer.Start}
 	n.edge = &gtedge.Edge{
 		Now: now, Self: cfg.Node.Instance, IDPrefix: cfg.Node.Instance + "-" + strconv.FormatInt(n.startTime.UnixMilli(), 36) + "-",
--- a/io/process/gtnode/shutdown.go
+++ b/io/process/gtnode/shutdown.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"godwittide/core/process/gtmember"
-	"godwittide/core/request/gtcall"
 	"godwittide/core/request/gtinflight"
 )
 
@@ -71,19 +69,6 @@
 	}
 }
 
-// mayBeginForPeer reports whether a call of a peer may begin. During a shutdown, one that
-// may not be repeated and that could outlast it is to run on another instance, if there is
-// one; the peer sends it there.
-func (n *Node) mayBeginForPeer(c gtcall.Call) bool {
-	if c.Idempotent() || c.LookupOnly() || !n.drain.EndsBefore(c.Deadline()) {
-		return true
-	}
-	self := n.table.Self()
-	return !slices.ContainsFunc(n.table.ServiceMembers(c.Service()), func(r gtmember.Record) bool {
-		return r.Instance() != self.Instance() && r.Version() == self.Version() && r.State() == gtmember.Ready
-	})
-}
-
 // logDrainTimeout logs the requests that are still in flight when the drain has timed out,
 // the oldest first.
 func (n *Node) logDrainTimeout() {
--- a/io/request/gthop/handler.go
+++ b/io/request/gthop/handler.go
@@ -33,9 +33,6 @@
 	// PausedSince reports whether this process was paused at any time after since;
 	// nil means that no pauses are detected.
 	PausedSince func(since time.Time) bool
-	// MayBegin reports whether a call may begin: the node may be shutting down. Nil means
-	// that all may.
-	MayBegin func(c gtcall.Call) bool
 	// Requests holds the requests in flight; nil means that they aren't recorded.
 	Requests *gtinflight.Table
 
@@ -120,9 +117,6 @@
 	if h.callerDisconnectedDuringPause(ctx, now) {
 		return gtcall.Response{}, gtkind.New(gtkind.Canceled, "caller disconnected during a process pause of this node")
 	}
-	if h.MayBegin != nil && !h.MayBegin(c) {
-		return gtcall.Response{}, gtkind.New(gtkind.Leaving, "this node shuts down before the deadline of the request")
-	}
 	if c.Crashes() > 0 {
 		h.LocalBackend.Crashes.Merge(gtdedup.NewCrash(c.Fingerprint(), c.Crashes(), !c.Idempotent(), now.Add(gtdedup.CrashWindow)))
 	}
