--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -289,13 +289,13 @@
 	n.localBackend = &gthop.LocalBackend{
 		Now: now, Self: n.table.Self, Address: cfg.Backend.Address, MaxBufferBytes: cfg.Limit.MaxBufferBytes, Pool: n.backendPool,
 		Gate: n.gate, Keys: n.dedup, Crashes: n.crashes, Outcomes: n.outcomes,
-		HistoryKnown: n.dedupHistoryKnown, OnCrash: n.announceCrash, CheckDown: n.probeDown, MayRun: n.checkVersion, ReadyAt: n.backend.readyTime, Trace: n.tracer.Start,
+		HistoryKnown: n.dedupHistoryKnown, OnCrash: n.announceCrash, CheckDown: n.probeDown, MayRun: n.mayRun, ReadyAt: n.backend.readyTime, Trace: n.tracer.Start,
 		Dialect: n.Dialect, OnResult: n.logBackendCall, OnOmitted: n.countOmitted,
 	}
 	if n.Heartbeats != nil {
 		n.localBackend.WarmUpEnd = n.backend.warmUpEndTime
 	}
-	n.hopHandler = &gthop.Handler{LocalBackend: n.localBackend, Timer: n.timer, MaxBodyBytes: cfg.Limit.MaxBodyBytes, OnPanic: n.recordPanic, PausedSince: n.timer.PausedSince, MayBegin: n.mayBeginForPeer, Requests: n.requests}
+	n.hopHandler = &gthop.Handler{LocalBackend: n.localBackend, Timer: n.timer, MaxBodyBytes: cfg.Limit.MaxBodyBytes, OnPanic: n.recordPanic, PausedSince: n.timer.PausedSince, Requests: n.requests}
 	client := &gthop.Client{Now: now, Pool: n.hopPool, Dialect: n.Dialect, MaxBufferBytes: cfg.Limit.MaxBufferBytes, Trace: n.tracer.Start}
 	n.edge = &gtedge.Edge{
 		Now: now, Self: cfg.Node.Instance, IDPrefix: cfg.Node.Instance + "-" + strconv.FormatInt(n.startTime.UnixMilli(), 36) + "-",
