gtnode: a stop after a process pause counts from before the pause

Callers' connections closed without an answer on POSTs that a backend server ran: the node that took them was killed at the end of the platform's grace time.

Cause: the drain was counted from the handling of SIGTERM, which came up to 1.2 s after it had been sent, as the process got no processor time. So the node took requests that end within its drain, but not within the grace time.

--- a/core/process/gtdrain/drain.go
+++ b/core/process/gtdrain/drain.go
@@ -33,6 +33,16 @@
 // Begin begins the shutdown. It is called once.
 func (d *Drain) Begin() { d.begun.Set(d.Now()) }
 
+// BeginAt is like Begin for a shutdown that may have been ordered earlier, but takes at most
+// half of Limit away from the requests in flight.
+func (d *Drain) BeginAt(ordered time.Time) {
+	now := d.Now()
+	if earliest := now.Add(-d.Limit / 2); ordered.Before(earliest) {
+		ordered = earliest
+	}
+	d.begun.Set(ordered)
+}
+
 // Begun reports whether the shutdown has begun.
 func (d *Drain) Begun() bool { return !d.begun.Time().IsZero() }
 
--- a/core/process/gtdrain/drain_test.go
+++ b/core/process/gtdrain/drain_test.go
@@ -43,3 +43,15 @@
 	now = start.Add(4 * time.Second)
 	g.Expect(d.Left()).To(gomega.Equal(time.Second))
 }
+
+// A stop that began late, as its SIGTERM came during a process pause, took requests that
+// outlasted the platform's grace time (LOST).
+func TestShutdownThatWasOrderedEarlierEndsEarlier(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(1000, 0)
+	for ordered, left := range map[time.Duration]time.Duration{0: 5 * time.Second, 1200 * time.Millisecond: 3800 * time.Millisecond, time.Minute: 2500 * time.Millisecond} {
+		d := &Drain{Now: func() time.Time { return now }, Linger: 2 * time.Second, Limit: 5 * time.Second}
+		d.BeginAt(now.Add(-ordered))
+		g.Expect(d.Left()).To(gomega.Equal(left))
+	}
+}
--- a/core/process/gttimer/timer.go
+++ b/core/process/gttimer/timer.go
@@ -58,7 +58,8 @@
 	tickers   tickerHeap
 	wake      chan struct{}
 	lastCheck time.Time
-	lastPause time.Time
+	lastPause time.Time // end of the latest pause
+	pausedAt  time.Time // last check before it
 }
 
 // Ticker is one subscription. Its channel holds at most one pending tick: while
@@ -193,7 +194,7 @@
 	defer s.mu.Unlock()
 	now := s.Time()
 	if !s.lastCheck.IsZero() && now.Sub(s.lastCheck) > pauseThreshold {
-		s.lastPause = now
+		s.lastPause, s.pausedAt = now, s.lastCheck
 	}
 	s.lastCheck = now
 	next := now.Add(1)
@@ -212,6 +213,24 @@
 	return s.lastPause.After(since) || s.Time().Sub(s.lastCheck) > pauseThreshold
 }
 
+// EarliestArrival returns the earliest time at which a signal may have arrived that the
+// process handles now: before a pause that has just ended, or else now.
+func (s *Service) EarliestArrival() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Time()
+	switch {
+	case s.lastCheck.IsZero():
+		return now
+	case now.Sub(s.lastCheck) > pauseThreshold: // the pause is not recorded yet
+		return s.lastCheck
+	case !s.lastPause.IsZero() && now.Sub(s.lastPause) <= pauseThreshold:
+		return s.pausedAt
+	default:
+		return now
+	}
+}
+
 // Step delivers all ticks that are due at now. It returns the time of the next
 // tick, and false if there are no subscriptions.
 func (s *Service) Step(now time.Time) (time.Time, bool) {
--- a/core/process/gttimer/timer_test.go
+++ b/core/process/gttimer/timer_test.go
@@ -53,6 +53,25 @@
 	g.Expect(s.PausedSince(c.now)).To(gomega.BeFalse(), "the pause ended before")
 }
 
+// A SIGTERM that came while the process got no processor time was taken for one that came
+// afterwards: the stop began late, and outlasted the platform's grace time (LOST).
+func TestSignalMayHaveArrivedBeforeAPause(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := &fakeClock{now: time.Unix(1000, 0)}
+	s := &Service{Now: c.read}
+	g.Expect(s.EarliestArrival()).To(gomega.Equal(c.now), "Run has not started")
+	s.checkClock()
+	g.Expect(s.EarliestArrival()).To(gomega.Equal(c.now))
+	before := c.now
+	c.now = c.now.Add(1200 * time.Millisecond)
+	g.Expect(s.EarliestArrival()).To(gomega.Equal(before), "the clock has not been checked since the pause")
+	s.checkClock()
+	g.Expect(s.EarliestArrival()).To(gomega.Equal(before))
+	c.now = c.now.Add(pauseThreshold + 1)
+	s.lastCheck = c.now
+	g.Expect(s.EarliestArrival()).To(gomega.Equal(c.now), "long after the pause")
+}
+
 func TestRunningServiceReportsNoPause(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
