gtmove: an older state doesn't replace a move's rollback in the index of versions

Callers could get failures of a version that was rolled back: a node that merged the states of its move in two threads took it for one on trial, once its order was gone.

Cause: the index of the latest states is written after the lock of the states is released, so that an older state could be the last to be entered, and then stayed.

Of two states of one move, the index now keeps the one that supersedes the other, in whatever order they come. Its order among different moves stays by time of change.

--- a/core/version/gtmove/latest.go
+++ b/core/version/gtmove/latest.go
@@ -14,7 +14,7 @@
 	bySuffix gtshard.Map[State]
 }
 
-// add adds a state that supersedes the one before it.
+// add adds a state, unless a later one is there. States may come in any order.
 func (l *latestStates) add(s State) {
 	for rest := s.id; ; {
 		_, suffix, ok := strings.Cut(rest, ".")
@@ -22,7 +22,7 @@
 			return
 		}
 		l.bySuffix.Do(suffix, func(m map[string]State) {
-			if old, ok := m[suffix]; !ok || old.id == s.id || !s.updated.Before(old.updated) {
+			if old, ok := m[suffix]; !ok || s.isLaterThan(old) {
 				m[suffix] = s
 			}
 		})
@@ -30,6 +30,15 @@
 	}
 }
 
+// isLaterThan reports whether s supersedes old, a state of the same move, or belongs to a
+// move that was changed after that of old.
+func (s State) isLaterThan(old State) bool {
+	if s.id == old.id {
+		return s.Supersedes(old)
+	}
+	return !s.updated.Before(old.updated)
+}
+
 // prune removes the states of the moves for which keep returns false.
 func (l *latestStates) prune(keep func(id string) bool) {
 	l.bySuffix.Each(func(m map[string]State) {
