gtcanary: requests on routes with few count for a step, once latencies are known

Operators of a service with few requests would have seen good moves miss their deadline: since a step needs requests whose latency was compared, none counted on routes on which the old version had answered fewer than 20.

A timed request on such a route counts once the old version has 20 timed answers on all routes together. Answers during a warm-up have no latency and still count for nothing (gtplatform ShareIsNotRaisedWithoutLatencies).

--- a/core/version/gtcanary/counter.go
+++ b/core/version/gtcanary/counter.go
@@ -102,6 +102,15 @@
 // and untimed requests are in none.
 func (c Counts) LatencyCounts() []uint64 { return c.latencyCounts[:] }
 
+// timed returns the number of requests whose latency was counted.
+func (c Counts) timed() uint64 {
+	var n uint64
+	for _, v := range c.latencyCounts {
+		n += v
+	}
+	return n
+}
+
 // since returns the outcomes that were counted after old. If a count is lower
 // than in old, the instance is taken to have restarted and counted from zero, and
 // all of c is returned.
--- a/core/version/gtcanary/judge.go
+++ b/core/version/gtcanary/judge.go
@@ -134,6 +134,7 @@
 	alarm        *Alarm
 	stepRequests uint64
 	stepCompared uint64
+	oldTimed     uint64 // the old version's timed responses on all routes
 	alarmLevel   float64
 }
 
@@ -228,6 +229,7 @@
 	}
 	if version != j.To {
 		rs.addBaseline(c)
+		j.oldTimed += c.timed()
 		return
 	}
 	j.stepRequests += c.total
@@ -253,9 +255,13 @@
 }
 
 // testSlowness tests the latencies in c, counted for the new version, against the
-// baseline, and returns how many were tested.
+// baseline, and returns how many are evidence: also those on a route with few requests, once
+// the old version's latencies are known on others.
 func (j *Judge) testSlowness(route string, rs *routeStats, c Counts) uint64 {
 	firstSlow, baselineTimed := rs.slowBucket()
+	if baselineTimed < minSlowSamples && j.oldTimed >= minSlowSamples {
+		return c.timed()
+	}
 	if baselineTimed < minSlowSamples {
 		return 0
 	}
@@ -435,7 +441,8 @@
 }
 
 // StepCompared returns the number of requests of the new version since the last
-// StartStep that have failed, or whose latency was compared with the old version's.
+// StartStep that are evidence: they failed, or their latency was counted while the old
+// version's latencies were known.
 func (j *Judge) StepCompared() uint64 {
 	j.mu.Lock()
 	defer j.mu.Unlock()
