gtedge, gtnode: a sender's last attempt runs also on a node that stops

Callers got 503 for requests of a service whose instances all stopped at once, although two of them went on running requests for 2 s: each refused what could outlast its stop in favour of the other, which peers still held for ready.

Cause: the refusal looks at what the membership says of the others, and a node that has begun to stop is announced as leaving only after its linger period.

A call that no other instance is left for says so, in a flag that older nodes ignore; a node that stops then runs it as far as it gets, as it did before.

--- a/core/request/gtcall/call.go
+++ b/core/request/gtcall/call.go
@@ -38,6 +38,7 @@
 	isResend      bool
 	releasedByAll bool
 	lookupOnly    bool
+	isLastAttempt bool
 	isRetry       bool
 	hops          int
 	crashes       int
@@ -96,6 +97,10 @@
 // send of the request. Such a call must not run.
 func (c Call) LookupOnly() bool { return c.lookupOnly }
 
+// IsLastAttempt reports whether the sender has no other instance for the call if this one
+// refuses it.
+func (c Call) IsLastAttempt() bool { return c.isLastAttempt }
+
 // IsRetry reports whether the call is, or is caused by, a retry that draws on the
 // retry budget, at this hop or an earlier one.
 func (c Call) IsRetry() bool { return c.isRetry }
@@ -162,6 +167,12 @@
 	return c
 }
 
+// WithLastAttempt returns a copy that is marked as the sender's last attempt or not.
+func (c Call) WithLastAttempt(last bool) Call {
+	c.isLastAttempt = last
+	return c
+}
+
 // WithRetry returns a copy that is marked as a retry or not, as IsRetry reports.
 func (c Call) WithRetry(isRetry bool) Call {
 	c.isRetry = isRetry
--- a/io/process/gtnode/mayrun.go
+++ b/io/process/gtnode/mayrun.go
@@ -8,9 +8,10 @@
 
 // mayRun returns an error with a kind of certainty NotRun if a call may not run on the local
 // backend server. A call that could outlast the shutdown of this node runs on another
-// instance, if there is one; a node that holds keys remembers that it has refused it.
+// instance, if there is one and the sender has not tried the others: they may shut down as
+// well. A node that holds keys remembers that it has refused the call.
 func (n *Node) mayRun(c gtcall.Call) error {
-	if n.drain.EndsBefore(c.Deadline()) && n.hasOtherReady() {
+	if n.drain.EndsBefore(c.Deadline()) && !c.IsLastAttempt() && n.hasOtherReady() {
 		return gtkind.New(gtkind.Leaving, "this node shuts down before the deadline of the request, and other instances are ready")
 	}
 	return n.checkVersion(c)
--- a/io/request/gtedge/edge.go
+++ b/io/request/gtedge/edge.go
@@ -258,7 +258,8 @@
 		tried = append(tried, to.Instance())
 		others := q.WithTried(slices.Clone(tried))
 		attemptCtx := e.withGiveUp(ctx, to, func() bool { return e.mayGiveUp(c, count, reached+1) && e.Router.CanPick(cfg, others) })
-		resp, err := e.attempt(attemptCtx, withVersion(cfg, c, to), to)
+		last := count > 1 && (count == gtretry.MaxAttempts || !e.Router.CanPick(cfg, others))
+		resp, err := e.attempt(attemptCtx, withVersion(cfg, c, to).WithLastAttempt(last), to)
 		k := gtkind.Of(err)
 		if err == nil && c.Idempotent() && resp.Status() == http.StatusServiceUnavailable {
 			k = gtkind.Shed
@@ -397,8 +398,9 @@
 	}
 	released, unreachable := 0, 0
 	var lastErr error
-	for _, to := range ranked {
-		resp, err := e.attempt(e.withGiveUp(ctx, to, never), withVersion(cfg, c, to), to)
+	for i, to := range ranked {
+		last := i > 0 && i == len(ranked)-1
+		resp, err := e.attempt(e.withGiveUp(ctx, to, never), withVersion(cfg, c, to).WithLastAttempt(last), to)
 		row := gtkind.Of(err).Row()
 		if err == nil || row.Certainty() != gtkind.NotRun || !row.RetryElsewhere() || ctx.Err() != nil {
 			return resp, err
@@ -416,7 +418,7 @@
 		return gtcall.Response{}, gtkind.Wrap(lastErr, gtkind.OutcomeUnknown, "a node that may have run the request is unreachable")
 	}
 	if released == len(ranked) {
-		c = withVersion(cfg, c.WithKey(c.Key(), c.IsResend(), true), ranked[0])
+		c = withVersion(cfg, c.WithKey(c.Key(), c.IsResend(), true).WithLastAttempt(true), ranked[0])
 		return e.attempt(e.withGiveUp(ctx, ranked[0], never), c, ranked[0])
 	}
 	return gtcall.Response{}, lastErr
--- a/io/request/gthop/metadata.go
+++ b/io/request/gthop/metadata.go
@@ -35,6 +35,7 @@
 	flagResend        = "r"
 	flagReleasedByAll = "a"
 	flagLookupOnly    = "f"
+	flagLastAttempt   = "l"
 )
 
 // encodeCall sets HeaderCall to the metadata of a call to the given instance, as
@@ -57,7 +58,7 @@
 	meta[metaInstance] = instance
 	meta[metaRemaining] = strconv.FormatInt(c.Deadline().Sub(now).Milliseconds(), 10)
 	meta[metaFlags] = flagIf(flagNonIdempotent, !c.Idempotent()) + flagIf(flagRetry, c.IsRetry()) + flagIf(flagResend, c.IsResend()) +
-		flagIf(flagReleasedByAll, c.ReleasedByAll()) + flagIf(flagLookupOnly, c.LookupOnly())
+		flagIf(flagReleasedByAll, c.ReleasedByAll()) + flagIf(flagLookupOnly, c.LookupOnly()) + flagIf(flagLastAttempt, c.IsLastAttempt())
 	meta[metaClass] = c.Class().String()
 	meta[metaService], meta[metaRoute] = c.Service(), c.Route()
 	meta[metaHops], meta[metaCrashes] = strconv.Itoa(c.Hops()), strconv.Itoa(c.Crashes())
@@ -133,6 +134,7 @@
 		WithIdempotent(!has(flagNonIdempotent)).
 		WithKey(r.Header.Get(HeaderIdempotencyKey), has(flagResend), has(flagReleasedByAll)).
 		WithRetry(has(flagRetry)).
+		WithLastAttempt(has(flagLastAttempt)).
 		WithHops(hops).
 		WithCrashes(crashes).
 		WithDeadline(now.Add(time.Duration(remaining) * time.Millisecond)).
