gtnode: reports after a clock was set back are not taken for silence

Operators would have seen a good move held for ten minutes: a machine's clock was set back between two starts of its node, and the reports of the second were ignored as those of an earlier process, while the share waits for a recent report of each instance. Found by the review of that wait.

--- a/core/version/gtcanary/judge.go
+++ b/core/version/gtcanary/judge.go
@@ -162,6 +162,14 @@
 	}
 }
 
+// Forget makes the next report of an instance count as that of a new start, whatever time
+// of start it has.
+func (j *Judge) Forget(instance string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	delete(j.lastReports, instance)
+}
+
 // compares reports whether the version is the old or the new one.
 func (j *Judge) compares(version string) bool {
 	return version == j.From || version == j.To || j.From == gtconfig.OtherVersions
--- a/io/process/gtnode/judges.go
+++ b/io/process/gtnode/judges.go
@@ -59,19 +59,27 @@
 }
 
 // addReport adds a report from an instance of the service to all pooled judges,
-// and keeps it for judges that are created later.
+// and keeps it for judges that are created later. A report of a process that started
+// before the last known one is ignored, unless that has fallen silent: the instance's clock
+// has then been set back between the two starts.
 func (j *judges) addReport(r gtcanary.Report) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.latest == nil {
 		j.latest = map[string]timedReport{}
 	}
-	if last, known := j.latest[r.Instance()]; known && last.report.StartMillis() > r.StartMillis() {
-		return
-	} else if known || len(j.latest) < maxReports {
+	last, known := j.latest[r.Instance()]
+	setBack := known && last.report.StartMillis() > r.StartMillis()
+	if setBack && j.now().Sub(last.at) <= maxReportAge {
+		return // late, of an earlier process
+	}
+	if known || len(j.latest) < maxReports {
 		j.latest[r.Instance()] = timedReport{r, j.now()}
 	}
 	for _, p := range j.pooled {
+		if setBack {
+			p.judge.Forget(r.Instance())
+		}
 		_, before := p.judge.Alarm()
 		p.judge.AddReport(r)
 		if _, after := p.judge.Alarm(); after && !before {
