gtnode: tests of connections at a stop without waits

They now go by what the connection has received, and check the same: the connection is waited for, and the request on it is served.

--- a/io/process/gtnode/shutdown_test.go
+++ b/io/process/gtnode/shutdown_test.go
@@ -150,46 +150,63 @@
 	}
 }
 
+// serveEdge serves callers on a listener of its own, with the connections tracked by conns.
+func serveEdge(t *testing.T, conns *idleConns) net.Conn {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") })
+	server := &http.Server{Handler: h, ConnState: conns.trackState, ConnContext: gtsocket.WithConn}
+	go func() { _ = server.Serve(&limitListener{Listener: ln, maxConns: 9}) }()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _, _ = c.Close(), server.Close() })
+	return c
+}
+
+// only returns the state of the only tracked connection, and whether bytes have been
+// received on it.
+func (i *idleConns) only() (state connState, received bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for c, s := range i.conns {
+		return s, c.(*limitConn).hasReceived()
+	}
+	return connActive, false
+}
+
+// expectServed reads a response and checks that it is the handler's.
+func expectServed(g *gomega.WithT, r *bufio.Reader) {
+	resp, err := http.ReadResponse(r, nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, _ = io.Copy(io.Discard, resp.Body)
+	g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusOK))
+}
+
+const simpleRequest = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
 // A caller's next request on a kept connection arrives in two parts, and the node stops in
 // between. The first part has left the socket, so that the connection looks idle.
 func TestStopServesARequestWhoseHeadIsBeingRead(t *testing.T) {
 	g := gomega.NewWithT(t)
-	listen := func() net.Listener {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		g.Expect(err).NotTo(gomega.HaveOccurred())
-		return ln
-	}
-	s := &servers{listeners: listeners{edge: listen(), hop: listen(), peer: listen()}}
-	s.listeners.hopSocket = s.listeners.hop
-	h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") })
-	s.edge = &http.Server{Handler: h, ConnState: s.edgeConns.trackState, ConnContext: gtsocket.WithConn}
-	s.hop, s.admin = &http.Server{}, &http.Server{}
-	go func() { _ = s.edge.Serve(&limitListener{Listener: s.listeners.edge, maxConns: 9}) }()
-	go func() { _ = s.hop.Serve(s.listeners.hop) }()
-	c, err := net.Dial("tcp", s.listeners.edge.Addr().String())
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	defer c.Close()
+	conns := &idleConns{}
+	c := serveEdge(t, conns)
 	r := bufio.NewReader(c)
-	request := "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
-	for _, parts := range [][]string{{request}, {request[:10], request[10:]}} {
-		for i, part := range parts {
-			if i > 0 {
-				time.Sleep(20 * time.Millisecond)
-				ctx, cancel := context.WithCancel(context.Background())
-				defer cancel()
-				timer := &gttimer.Service{}
-				go timer.Run(ctx)
-				go s.shutdown(ctx, timer, 0)
-				time.Sleep(20 * time.Millisecond)
-			}
-			_, err := io.WriteString(c, part)
-			g.Expect(err).NotTo(gomega.HaveOccurred())
-		}
-		resp, err := http.ReadResponse(r, nil)
-		g.Expect(err).NotTo(gomega.HaveOccurred())
-		_, _ = io.Copy(io.Discard, resp.Body)
-		g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusOK))
-	}
+	_, err := io.WriteString(c, simpleRequest)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	expectServed(g, r)
+	g.Eventually(func() connState { state, _ := conns.only(); return state }, "10s").Should(gomega.Equal(connIdle))
+	_, err = io.WriteString(c, simpleRequest[:10])
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Eventually(func() bool { _, received := conns.only(); return received }, "10s").Should(gomega.BeTrue())
+	g.Expect(conns.close()).To(gomega.Equal(1))
+	_, err = io.WriteString(c, simpleRequest[10:])
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	expectServed(g, r)
 }
 
 // A caller or peer has opened a connection and is about to send its first request, which a
@@ -197,34 +214,13 @@
 // 801). A client may not repeat a request that fails on a new connection.
 func TestStopServesTheFirstRequestOfANewConnection(t *testing.T) {
 	g := gomega.NewWithT(t)
-	listen := func() net.Listener {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		g.Expect(err).NotTo(gomega.HaveOccurred())
-		return ln
-	}
 	for _, notice := range [][]byte{nil, closeNotice} {
-		s := &servers{listeners: listeners{edge: listen(), hop: listen(), peer: listen()}}
-		s.listeners.hopSocket = s.listeners.hop
-		s.edgeConns.notice = notice
-		h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") })
-		s.edge = &http.Server{Handler: h, ConnState: s.edgeConns.trackState, ConnContext: gtsocket.WithConn}
-		s.hop, s.admin = &http.Server{}, &http.Server{}
-		go func() { _ = s.edge.Serve(s.listeners.edge) }()
-		go func() { _ = s.hop.Serve(s.listeners.hop) }()
-		c, err := net.Dial("tcp", s.listeners.edge.Addr().String())
-		g.Expect(err).NotTo(gomega.HaveOccurred())
-		defer c.Close()
-		time.Sleep(20 * time.Millisecond)
-		ctx, cancel := context.WithCancel(context.Background())
-		defer cancel()
-		timer := &gttimer.Service{}
-		go timer.Run(ctx)
-		go s.shutdown(ctx, timer, time.Second)
-		time.Sleep(100 * time.Millisecond)
-		_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
-		g.Expect(err).NotTo(gomega.HaveOccurred())
-		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		conns := &idleConns{notice: notice}
+		c := serveEdge(t, conns)
+		g.Eventually(func() connState { state, _ := conns.only(); return state }, "10s").Should(gomega.Equal(connNew))
+		g.Expect(conns.close()).To(gomega.Equal(1), "notice: %v", notice != nil)
+		_, err := io.WriteString(c, simpleRequest)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
-		g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusOK), "notice: %v", notice != nil)
+		expectServed(g, bufio.NewReader(c))
 	}
 }
