edge: stop reading a body at its request's deadline

A caller whose body didn't arrive in full was answered after 10 s with 400, whatever its deadline: only the read timeout bounded the body. It gets "expired", not run, at the deadline.

Evidence: gtplatform BodyThatMissesTheDeadlineIsAnsweredThen failed before: 10 s in place of 1.2. Ruled out: that the read timeout ends a request at work; the HTTP server lifts it.

--- a/core/request/gtinflight/table.go
+++ b/core/request/gtinflight/table.go
@@ -88,9 +88,8 @@
 func (t *Table) InterruptReading(before time.Time) {
 	t.each(func(s *shard) {
 		for e := range s.entries {
-			if e.interrupt != nil && e.request.began.Before(before) {
-				e.interrupted = true
-				e.interrupt()
+			if e.request.began.Before(before) {
+				e.interruptLocked()
 			}
 		}
 	})
@@ -160,6 +159,24 @@
 	e.interrupt = interrupt
 }
 
+// Interrupt interrupts the reading of the body, if it is being read.
+func (e *Entry) Interrupt() {
+	if e == nil {
+		return
+	}
+	e.shard.mu.Lock()
+	defer e.shard.mu.Unlock()
+	e.interruptLocked()
+}
+
+// interruptLocked interrupts the reading of the body. The caller holds the lock of the shard.
+func (e *Entry) interruptLocked() {
+	if e.interrupt != nil {
+		e.interrupted = true
+		e.interrupt()
+	}
+}
+
 // EndReading tells that the body is no longer read, and reports whether it could be read
 // without an interruption.
 func (e *Entry) EndReading() bool {
--- a/io/request/gtedge/edge.go
+++ b/io/request/gtedge/edge.go
@@ -12,6 +12,7 @@
 package gtedge
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"slices"
@@ -199,8 +200,10 @@
 		return gtcall.Call{}, gtkind.New(gtkind.BadRequest, "idempotency key is longer than %d bytes", maxKeyBytes)
 	}
 	id := e.Dialect.RequestIDOr(r, e.newID)
-	entry.Identify(id, route.Name(), start.Add(e.Dialect.ShortenTimeout(r, gtconfig.MaxTimeout)))
-	body, err := gthop.ReadBody(r, entry, e.MaxBodyBytes)
+	bodyTimeout := cmp.Or(route.Timeout(), gtconfig.MaxTimeout)
+	bodyDeadline := start.Add(e.Dialect.ShortenTimeout(r, bodyTimeout))
+	entry.Identify(id, route.Name(), bodyDeadline)
+	body, err := gthop.ReadBody(r, entry, e.MaxBodyBytes, bodyDeadline)
 	if err != nil {
 		return gtcall.New(id, r.Method, r.URL.RequestURI()).WithRoute("", route.Name(), route.Class()), err
 	}
--- a/io/request/gthop/handler.go
+++ b/io/request/gthop/handler.go
@@ -103,7 +103,7 @@
 		return gtcall.Response{}, gtkind.New(gtkind.Refused, "this is instance %s, the request is addressed to %.64q", self, instance)
 	}
 	entry := gtinflight.FromContext(ctx)
-	body, err := ReadBody(r, entry, h.MaxBodyBytes)
+	body, err := ReadBody(r, entry, h.MaxBodyBytes, time.Time{})
 	if err != nil {
 		return gtcall.Response{}, err
 	}
@@ -146,9 +146,10 @@
 }
 
 // ReadBody returns the body of a request. It fails with TooLarge if the body has
-// more than limit bytes, with Leaving if a shutdown interrupts it before the whole body has
-// arrived, and with BadRequest if it can't be read.
-func ReadBody(r *http.Request, entry *gtinflight.Entry, limit int) ([]byte, error) {
+// more than limit bytes, with Expired if the whole body has not arrived before the deadline,
+// with Leaving if a shutdown interrupts it, and with BadRequest if it can't be read. A zero
+// deadline means none.
+func ReadBody(r *http.Request, entry *gtinflight.Entry, limit int, deadline time.Time) ([]byte, error) {
 	if r.ContentLength > int64(limit) {
 		return nil, gtkind.New(gtkind.TooLarge, "request body has %d bytes, the limit is %d", r.ContentLength, limit)
 	}
@@ -156,17 +157,23 @@
 		return nil, nil
 	}
 	entry.BeginReading(func() { gtsocket.InterruptRead(r.Context()) })
+	if !deadline.IsZero() {
+		defer time.AfterFunc(time.Until(deadline), entry.Interrupt).Stop()
+	}
 	b, err := io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
-	if !entry.EndReading() {
+	interrupted := !entry.EndReading()
+	switch {
+	case interrupted && !deadline.IsZero() && !time.Now().Before(deadline):
+		return nil, gtkind.New(gtkind.Expired, "deadline passed before the request body has arrived")
+	case interrupted:
 		return nil, gtkind.New(gtkind.Leaving, "this node shuts down before the request body has arrived")
-	}
-	if err != nil {
+	case err != nil:
 		return nil, gtkind.Wrap(err, gtkind.BadRequest, "read the request body")
-	}
-	if len(b) > limit {
+	case len(b) > limit:
 		return nil, gtkind.New(gtkind.TooLarge, "request body is larger than %d bytes", limit)
+	default:
+		return b, nil
 	}
-	return b, nil
 }
 
 // keepAlive sends the keep-alives of one call: interim responses (102) until the
