gtnode: a stopping driver still judges the new version

While the drivers of a move were stopping, nobody judged: for 2.1 s a stopping node still says that it is ready and gets the reports, but did not drive. Ruled out: leaving and suspected nodes, which are no drivers for anyone.

--- a/io/process/gtnode/drive.go
+++ b/io/process/gtnode/drive.go
@@ -102,9 +102,10 @@
 
 // driveMove evaluates a move and has its next state written, if a change is due. A
 // version that is rolled back is halted on this node and all peers first, since the
-// write may take long. Drivers with a rank above 0 delay the write.
+// write may take long. Drivers with a rank above 0 delay the write. A node that is
+// stopping writes nothing but rollbacks.
 func (n *Node) driveMove(ctx context.Context, m gtconfig.Move, rank int) {
-	if n.SaveMove == nil && n.configStore == nil || n.drain.Begun() {
+	if n.SaveMove == nil && n.configStore == nil {
 		return
 	}
 	p := n.judges.pooledJudge(m)
@@ -119,8 +120,11 @@
 		p.changeDueSince = time.Time{}
 		return
 	}
-	if next.Phase() == gtmove.RolledBack {
+	switch {
+	case next.Phase() == gtmove.RolledBack:
 		n.haltMove(m, next.Reason())
+	case n.drain.Begun():
+		return
 	}
 	if p.changeDueSince.IsZero() {
 		p.changeDueSince = now
