--- a/core/version/gtcanary/judge.go
+++ b/core/version/gtcanary/judge.go
@@ -43,6 +43,9 @@
 // the baseline and 1.
 var excessRates = [...]float64{0.04, 0.12, 0.35, 0.75}
 
+// allRoutes stands for all routes in an alarm. No route has this name.
+const allRoutes = "*"
+
 // Alarm is the finding that the new version is worse than the old one.
 type Alarm struct {
 	route    string
@@ -76,8 +79,11 @@
 // String returns the metric, the route and the rates of both versions as text.
 func (a Alarm) String() string {
 	route := a.route
-	if route == "" {
+	switch route {
+	case "":
 		route = "other routes"
+	case allRoutes:
+		route = "all routes"
 	}
 	return fmt.Sprintf("%s on route %s: %.1f%% of %d requests, old version %.1f%%", a.metric, route, 100*a.rate, a.requests, 100*a.baseline)
 }
@@ -86,12 +92,26 @@
 // baseline counts are the old version's, weighted by age.
 type routeStats struct {
 	baselineTotal, baselineFailed float64
+	baselineTimed, baselineSlow   float64
 	baselineLatency               [LatencyBuckets]float64
 	newTotal, newFailed           uint64
 	newTimed, newSlow             uint64
-	failures, slowness            cusum
+	tests
+}
+
+// tests holds the state of the two tests.
+type tests struct {
+	failures, slowness cusum
 }
 
+// peak returns the highest sum of both tests.
+func (t *tests) peak() float64 { return math.Max(t.failures.peak(), slowWeight*t.slowness.peak()) }
+
+// allRoutesFactor is the threshold for the sums of all routes, as a multiple of that for
+// one: they hold many more responses. Uncertain limits for slow responses balance each
+// other out there, so that these sums aren't scaled down.
+const allRoutesFactor = 1.25
+
 // cusum holds a cumulative sum of log-likelihood ratios for each of excessRates.
 type cusum [len(excessRates)]float64
 
@@ -109,6 +129,7 @@
 	mu           sync.Mutex
 	lastReports  map[string]Report
 	routes       map[string]*routeStats
+	all          tests
 	lastDecay    time.Time
 	alarm        *Alarm
 	stepRequests uint64
@@ -213,8 +234,12 @@
 	rs.newTotal += c.total
 	rs.newFailed += c.failed
 	baseline := math.Max(minFailureBaseline, upperRate(rs.baselineFailed, rs.baselineTotal))
-	if rs.failures.add(c.failed, c.total, baseline) > j.Threshold {
-		j.raise(Alarm{route: route, metric: "failures", rate: ratio(float64(rs.newFailed), float64(rs.newTotal)), baseline: ratio(rs.baselineFailed, rs.baselineTotal), requests: rs.newTotal, counts: rs.counts()})
+	ratios := likelihoodRatios(c.failed, c.total, baseline)
+	if rs.failures.add(ratios) > j.Threshold {
+		j.raise(rs.failureAlarm(route))
+	}
+	if j.all.failures.add(ratios) > allRoutesFactor*j.Threshold {
+		j.raise(j.sum().failureAlarm(allRoutes))
 	}
 	j.stepCompared += c.failed + j.testSlowness(route, rs, c)
 }
@@ -237,17 +262,53 @@
 	slow, total := countSlow(c.latencyCounts, firstSlow)
 	rs.newTimed += total
 	rs.newSlow += slow
-	var baselineSlow float64
+	rs.baselineTimed, rs.baselineSlow = baselineTimed, 0
 	for i := firstSlow; i < LatencyBuckets; i++ {
-		baselineSlow += rs.baselineLatency[i]
+		rs.baselineSlow += rs.baselineLatency[i]
+	}
+	baseline := math.Max(minSlowBaseline, upperRate(rs.baselineSlow, baselineTimed))
+	ratios := likelihoodRatios(slow, total, baseline)
+	if slowWeight*rs.slowness.add(ratios) > j.Threshold {
+		j.raise(rs.slownessAlarm(route))
 	}
-	baseline := math.Max(minSlowBaseline, upperRate(baselineSlow, baselineTimed))
-	if slowWeight*rs.slowness.add(slow, total, baseline) > j.Threshold {
-		j.raise(Alarm{route: route, metric: "slow answers", rate: ratio(float64(rs.newSlow), float64(rs.newTimed)), baseline: ratio(baselineSlow, baselineTimed), requests: rs.newTimed, counts: rs.counts()})
+	if j.all.slowness.add(ratios) > allRoutesFactor*j.Threshold {
+		j.raise(j.sum().slownessAlarm(allRoutes))
 	}
 	return total
 }
 
+// sum returns the outcomes of all routes.
+func (j *Judge) sum() *routeStats {
+	all := &routeStats{}
+	for _, rs := range j.routes {
+		all.baselineTotal += rs.baselineTotal
+		all.baselineFailed += rs.baselineFailed
+		all.baselineTimed += rs.baselineTimed
+		all.baselineSlow += rs.baselineSlow
+		all.newTotal += rs.newTotal
+		all.newFailed += rs.newFailed
+		all.newTimed += rs.newTimed
+		all.newSlow += rs.newSlow
+	}
+	return all
+}
+
+// failureAlarm returns the alarm for failures on the route.
+func (rs *routeStats) failureAlarm(route string) Alarm {
+	return Alarm{
+		route: route, metric: "failures", requests: rs.newTotal, counts: rs.counts(),
+		rate: ratio(float64(rs.newFailed), float64(rs.newTotal)), baseline: ratio(rs.baselineFailed, rs.baselineTotal),
+	}
+}
+
+// slownessAlarm returns the alarm for slow answers on the route.
+func (rs *routeStats) slownessAlarm(route string) Alarm {
+	return Alarm{
+		route: route, metric: "slow answers", requests: rs.newTimed, counts: rs.counts(),
+		rate: ratio(float64(rs.newSlow), float64(rs.newTimed)), baseline: ratio(rs.baselineSlow, rs.baselineTimed),
+	}
+}
+
 // slowBucket returns the index of the first latency bucket that counts as slow,
 // and the weight of the old version's timed responses from which it is computed.
 func (rs *routeStats) slowBucket() (int, float64) {
@@ -290,13 +351,21 @@
 	return hits / total
 }
 
-// add updates the sums with hits out of total requests against the baseline
-// rate, and returns the largest sum.
-func (s *cusum) add(hits, total uint64, baseline float64) float64 {
+// likelihoodRatios returns the log-likelihood ratio of hits out of total requests
+// against the baseline rate, for each of excessRates.
+func likelihoodRatios(hits, total uint64, baseline float64) cusum {
+	var ratios cusum
 	for i, excess := range excessRates {
 		q := baseline + excess*(1-baseline)
-		llr := float64(hits)*math.Log(q/baseline) + float64(total-hits)*math.Log((1-q)/(1-baseline))
-		s[i] = math.Max(0, s[i]+llr)
+		ratios[i] = float64(hits)*math.Log(q/baseline) + float64(total-hits)*math.Log((1-q)/(1-baseline))
+	}
+	return ratios
+}
+
+// add adds log-likelihood ratios to the sums, and returns the largest sum.
+func (s *cusum) add(ratios cusum) float64 {
+	for i, r := range ratios {
+		s[i] = math.Max(0, s[i]+r)
 	}
 	return s.peak()
 }
@@ -336,9 +405,9 @@
 // updateAlarmLevel sets the alarm level to the highest sum of all tests as a
 // fraction of the threshold.
 func (j *Judge) updateAlarmLevel() {
-	j.alarmLevel = 0
+	j.alarmLevel = math.Max(j.all.failures.peak(), j.all.slowness.peak()) / (allRoutesFactor * j.Threshold)
 	for _, rs := range j.routes {
-		j.alarmLevel = max(j.alarmLevel, rs.failures.peak()/j.Threshold, slowWeight*rs.slowness.peak()/j.Threshold)
+		j.alarmLevel = max(j.alarmLevel, rs.peak()/j.Threshold)
 	}
 }
 
