--- /dev/null
+++ b/test/mesh/stopkey_test.go
@@ -0,0 +1,53 @@
+package mesh
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"godwittide/io/process/gtcluster"
+	"godwittide/io/process/gtsettings"
+)
+
+var _ = ginkgo.Describe("a request with an idempotency key beside a stop", func() {
+	// A node that stopped refused calls of peers before it looked up their idempotency key:
+	// the peer ran a request again that had run at the stopping node (TWICE).
+	it("does not run again when the node that ran it stops", func() {
+		cluster, sites := newStoppingCluster()
+		load := &gtcluster.Load{Method: "POST", Path: "/lending/x", Keyed: true, EdgeURLs: edgeURLs(sites[1:])}
+		prepareLoad(load)
+		var keys []string
+		for i := range 10 {
+			key := fmt.Sprintf("key-%d.", i)
+			gomega.Expect(load.Send(sites[1].EdgeURL(), key, false).Status).To(gomega.Equal(http.StatusOK))
+			keys = append(keys, key)
+		}
+		sites[0].Node().Drain()
+		sleep(100 * time.Millisecond)
+		for _, key := range keys {
+			gomega.Expect(load.Send(sites[1].EdgeURL(), key, false).Status).To(gomega.Equal(http.StatusOK))
+		}
+		for key, n := range executions(cluster) {
+			gomega.Expect(n).To(gomega.Equal(1), key)
+		}
+	})
+})
+
+// newStoppingCluster returns a cluster of two nodes in one zone, with a route whose timeout
+// is longer than a shutdown.
+func newStoppingCluster() (*gtcluster.Cluster, []*gtcluster.Site) {
+	cluster := newCluster()
+	spec := gtcluster.SiteSpec{Service: "lending", Version: "1", ServiceTime: 20 * time.Millisecond, Slots: 100}
+	spec.EditSettings = func(s *gtsettings.Settings) {
+		s.Limit.LingerPeriod, s.Limit.RefusePeriod = gtsettings.Duration(2100*time.Millisecond), gtsettings.Duration(400*time.Millisecond)
+		s.Limit.DrainTimeout = gtsettings.Duration(5200 * time.Millisecond)
+	}
+	sites := addSites(cluster, 2, spec, "z1")
+	pushConfig(cluster, map[string]string{"10-base.toml": strings.Replace(baseConfig, "2s", "9s", 1)})
+	sleep(time.Second)
+	return cluster, sites
+}
