--- a/test/mesh/stopkey_test.go
+++ b/test/mesh/stopkey_test.go
@@ -51,3 +51,21 @@
 	sleep(time.Second)
 	return cluster, sites
 }
+
+var _ = ginkgo.Describe("a stop of all instances of a service", func() {
+	// Two nodes that stopped refused the calls of peers in favour of each other: each was
+	// still announced as ready, and no request that could outlast the stop ran anywhere.
+	it("goes on running what peers send while it is not announced", func() {
+		cluster, sites := newStoppingCluster()
+		other := addSites(cluster, 1, gtcluster.SiteSpec{Service: "other", Version: "1"}, "z1")
+		sleep(time.Second)
+		load := &gtcluster.Load{Method: "POST", Path: "/lending/x", Rate: 50, EdgeURLs: edgeURLs(other)}
+		results := runLoadDuring(load, func() {
+			sleep(500 * time.Millisecond)
+			sites[0].Node().Drain()
+			sites[1].Node().Drain()
+			sleep(1500 * time.Millisecond)
+		})
+		gomega.Expect(countOutcomes(results)).To(gomega.Equal(map[string]int{"ok": len(results)}))
+	})
+})
