--- a/core/version/gtcanary/counter.go
+++ b/core/version/gtcanary/counter.go
@@ -15,8 +15,8 @@
 // Each report holds all counts since the start of the instance, so a lost or
 // repeated report does no harm.
 //
-// The judge runs two sequential tests for each route, on failures and on slow
-// responses. Each is a CUSUM test (Page, 1954): a cumulative sum of
+// The judge runs two sequential tests for each route and for all of them together, on
+// failures and on slow responses. Each is a CUSUM test (Page, 1954): a cumulative sum of
 // log-likelihood ratios of the new version's rate against the old version's at
 // the same time. The threshold bounds the rate of false alarms; how soon a fault
 // is detected depends on its size.
@@ -102,6 +102,15 @@
 // and untimed requests are in none.
 func (c Counts) LatencyCounts() []uint64 { return c.latencyCounts[:] }
 
+// timed returns the number of requests whose latency was counted.
+func (c Counts) timed() uint64 {
+	var n uint64
+	for _, v := range c.latencyCounts {
+		n += v
+	}
+	return n
+}
+
 // since returns the outcomes that were counted after old. If a count is lower
 // than in old, the instance is taken to have restarted and counted from zero, and
 // all of c is returned.
--- a/io/request/gtedge/edge.go
+++ b/io/request/gtedge/edge.go
@@ -12,6 +12,7 @@
 package gtedge
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"slices"
@@ -199,8 +200,10 @@
 		return gtcall.Call{}, gtkind.New(gtkind.BadRequest, "idempotency key is longer than %d bytes", maxKeyBytes)
 	}
 	id := e.Dialect.RequestIDOr(r, e.newID)
-	entry.Identify(id, route.Name(), start.Add(e.Dialect.ShortenTimeout(r, gtconfig.MaxTimeout)))
-	body, err := gthop.ReadBody(r, entry, e.MaxBodyBytes)
+	bodyTimeout := cmp.Or(route.Timeout(), gtconfig.MaxTimeout)
+	bodyDeadline := start.Add(e.Dialect.ShortenTimeout(r, bodyTimeout))
+	entry.Identify(id, route.Name(), bodyDeadline)
+	body, err := gthop.ReadBody(r, entry, e.MaxBodyBytes, bodyDeadline)
 	if err != nil {
 		return gtcall.New(id, r.Method, r.URL.RequestURI()).WithRoute("", route.Name(), route.Class()), err
 	}
@@ -220,7 +223,11 @@
 }
 
 // Expire deletes the state of routes that the active configuration no longer has.
-func (e *Edge) Expire() { e.Split.Prune(e.Holder.Current().Config().HasRoute) }
+func (e *Edge) Expire() {
+	hasRoute := e.Holder.Current().Config().HasRoute
+	e.Split.Prune(hasRoute)
+	e.Retry.Prune(hasRoute)
+}
 
 // newID returns an ID for a request that has none.
 func (e *Edge) newID() string { return e.IDPrefix + strconv.FormatUint(e.seq.Add(1), 36) }
@@ -254,7 +261,8 @@
 		tried = append(tried, to.Instance())
 		others := q.WithTried(slices.Clone(tried))
 		attemptCtx := e.withGiveUp(ctx, to, func() bool { return e.mayGiveUp(c, count, reached+1) && e.Router.CanPick(cfg, others) })
-		resp, err := e.attempt(attemptCtx, withVersion(cfg, c, to), to)
+		last := count > 1 && (count == gtretry.MaxAttempts || !e.Router.CanPick(cfg, others))
+		resp, err := e.attempt(attemptCtx, withVersion(cfg, c, to).WithLastAttempt(last), to)
 		k := gtkind.Of(err)
 		if err == nil && c.Idempotent() && resp.Status() == http.StatusServiceUnavailable {
 			k = gtkind.Shed
@@ -291,7 +299,7 @@
 // reached a backend server, as one that fails now with kind k.
 func (e *Edge) failedAttempt(c gtcall.Call, k gtkind.Kind, count, reached int) gtretry.Attempt {
 	failed := gtretry.NewAttempt(c.Service(), k, count, c.Deadline().Sub(e.Now()))
-	return failed.WithIdempotent(c.Idempotent()).WithRetry(c.IsRetry()).WithServersReached(reached, c.MaxBackends())
+	return failed.WithRoute(c.Route()).WithIdempotent(c.Idempotent()).WithRetry(c.IsRetry()).WithServersReached(reached, c.MaxBackends())
 }
 
 // mayGiveUp reports whether the last of count attempts, on which nothing is received, may
@@ -351,7 +359,11 @@
 		load = e.LocalBackend.Gate.Load(c.Route())
 	}
 	e.Router.End(to.Instance(), c.Route(), k, load)
-	e.recordOutcome(c, to, resp, k, e.Now().Sub(start))
+	d := e.Now().Sub(start)
+	e.recordOutcome(c, to, resp, k, d)
+	if k == gtkind.None {
+		e.Retry.RecordDuration(c.Route(), d)
+	}
 	if k == gtkind.Crashed && to.Instance() != e.Self {
 		e.OnCrash(gtdedup.NewCrash(c.Fingerprint(), c.Crashes()+1, !c.Idempotent(), e.Now().Add(gtdedup.CrashWindow)))
 	}
@@ -389,8 +401,9 @@
 	}
 	released, unreachable := 0, 0
 	var lastErr error
-	for _, to := range ranked {
-		resp, err := e.attempt(e.withGiveUp(ctx, to, never), withVersion(cfg, c, to), to)
+	for i, to := range ranked {
+		last := i > 0 && i == len(ranked)-1
+		resp, err := e.attempt(e.withGiveUp(ctx, to, never), withVersion(cfg, c, to).WithLastAttempt(last), to)
 		row := gtkind.Of(err).Row()
 		if err == nil || row.Certainty() != gtkind.NotRun || !row.RetryElsewhere() || ctx.Err() != nil {
 			return resp, err
@@ -408,7 +421,7 @@
 		return gtcall.Response{}, gtkind.Wrap(lastErr, gtkind.OutcomeUnknown, "a node that may have run the request is unreachable")
 	}
 	if released == len(ranked) {
-		c = withVersion(cfg, c.WithKey(c.Key(), c.IsResend(), true), ranked[0])
+		c = withVersion(cfg, c.WithKey(c.Key(), c.IsResend(), true).WithLastAttempt(true), ranked[0])
 		return e.attempt(e.withGiveUp(ctx, ranked[0], never), c, ranked[0])
 	}
 	return gtcall.Response{}, lastErr
