gtnode: the share is not raised while the old version is away

Callers would have met a version on trial more often than its share: while all nodes of the old version were away for some seconds, responses without a latency counted for a step, and a warming-up version went from 0.05 to 0.25.

Cause: with no old server ready, any finished request was evidence, as there was nothing to compare with. But the judge keeps the old version's outcomes.

The share stays for the first 10 s in which the old version has no ready server; after that, only a judge that never had the old version's latencies goes by finished requests.

--- a/core/version/gtcanary/judge.go
+++ b/core/version/gtcanary/judge.go
@@ -457,6 +457,13 @@
 	return j.stepCompared
 }
 
+// HasBaseline reports whether the old version's latencies are known.
+func (j *Judge) HasBaseline() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.oldTimed >= minSlowSamples
+}
+
 // HasTraffic reports whether either version has had a request on any route.
 func (j *Judge) HasTraffic() bool {
 	j.mu.Lock()
--- a/io/process/gtnode/drive.go
+++ b/io/process/gtnode/drive.go
@@ -20,6 +20,9 @@
 	// standbyDelay is the additional delay per rank before a driver writes a due
 	// change, so that normally only the first-ranked one writes it.
 	standbyDelay = 2 * time.Second
+	// oldVersionAbsence is how long the old version may have no ready instance, as all of
+	// them restart, before the move goes on without it.
+	oldVersionAbsence = 10 * time.Second
 )
 
 // driveMoves reports this node's outcome counts to the drivers of its service's
@@ -181,9 +184,9 @@
 	if h, ok := n.moves.Halt(m.ID()); ok {
 		reason = "found by " + h.By() + ": " + h.Reason()
 	}
-	doubt := n.doubt(m, p)
+	doubt := n.doubt(m, p, oldReady)
 	compared := p.judge.StepCompared()
-	if oldReady == 0 {
+	if oldReady == 0 && !p.judge.HasBaseline() {
 		compared = p.judge.StepRequests()
 	}
 	f := gtmove.NewFindings(reason, p.judge.AlarmLevel(), compared, p.judge.HasTraffic(), newReady, oldReady).WithDoubt(doubt)
@@ -192,9 +195,15 @@
 
 // doubt returns why the evidence of a move is incomplete, or "". Once it is complete for
 // the first time, the step is counted anew: the first reports hold what came before.
-func (n *Node) doubt(m gtconfig.Move, p *pooledJudge) string {
+func (n *Node) doubt(m gtconfig.Move, p *pooledJudge, oldReady int) string {
 	doubt := ""
-	if instance := n.judges.silent(n.readyInstances(m, m.To()), m.To()); instance != "" {
+	now := n.timer.Time()
+	if oldReady > 0 || p.oldReadyAt.IsZero() {
+		p.oldReadyAt = now
+	}
+	if oldReady == 0 && now.Sub(p.oldReadyAt) < oldVersionAbsence {
+		doubt = "no server of the old version is ready for now"
+	} else if instance := n.judges.silent(n.readyInstances(m, m.To()), m.To()); instance != "" {
 		doubt = "no recent report of " + instance
 	}
 	if doubt == "" && !p.complete {
--- a/io/process/gtnode/judges.go
+++ b/io/process/gtnode/judges.go
@@ -40,7 +40,8 @@
 // pooledJudge is the judge of one move that this node may drive. Its seq is the
 // sequence number of the move's state at the last evaluation, changeDueSince the time
 // since which a change of the state is due, or zero, and writing is true during a write.
-// It is complete once it has had the reports of all instances of the new version.
+// It is complete once it has had the reports of all instances of the new version. The old
+// version last had a ready instance at oldReadyAt.
 type pooledJudge struct {
 	judge          *gtcanary.Judge
 	seq            int64
@@ -48,6 +49,7 @@
 	alarmLogged    bool
 	complete       bool
 	doubt          string
+	oldReadyAt     time.Time
 	writing        atomic.Bool
 }
 
