gtedge: the last instance that refused a call for its stop gets it again

Callers got 503 for requests that the only instance left to them could have run: it was stopping, and refused what could outlast its stop in favour of an instance in an evacuated zone, to which no sender may go. A first attempt never said that there is no other.

The sender alone knows which instances are eligible. When none is left after such a refusal, or no attempt, it sends the call to the last one again as its last attempt. This replaces the mark on second and third attempts, for which each retry asked the router.

--- a/io/request/gtedge/edge.go
+++ b/io/request/gtedge/edge.go
@@ -243,7 +243,8 @@
 }
 
 // sendWithRetries sends a call to the backend server that the router picks, and
-// after a failure to others, as long as the retry policy allows it.
+// after a failure to others, as long as the retry policy allows it. If the last of them
+// only refused it in favour of another, it gets the call again, marked as the last attempt.
 func (e *Edge) sendWithRetries(ctx context.Context, cfg *gtconfig.Config, c gtcall.Call) (gtcall.Response, error) {
 	q := e.Router.DrawVersion(cfg, gtroute.NewQuery(c.Service()).WithRoute(c.Route()))
 	e.Retry.RecordFirstAttempt(c.Service())
@@ -261,8 +262,7 @@
 		tried = append(tried, to.Instance())
 		others := q.WithTried(slices.Clone(tried))
 		attemptCtx := e.withGiveUp(ctx, to, func() bool { return e.mayGiveUp(c, count, reached+1) && e.Router.CanPick(cfg, others) })
-		last := count > 1 && (count == gtretry.MaxAttempts || !e.Router.CanPick(cfg, others))
-		resp, err := e.attempt(attemptCtx, withVersion(cfg, c, to).WithLastAttempt(last), to)
+		resp, err := e.attempt(attemptCtx, withVersion(cfg, c, to), to)
 		k := gtkind.Of(err)
 		if err == nil && c.Idempotent() && resp.Status() == http.StatusServiceUnavailable {
 			k = gtkind.Shed
@@ -275,7 +275,11 @@
 			reached++
 		}
 		if !e.Router.CanPick(cfg, others) || !e.shouldRetry(ctx, c, k, count, reached) {
-			return resp, err
+			if k != gtkind.Leaving || c.IsLastAttempt() || ctx.Err() != nil {
+				return resp, err
+			}
+			tried, c = tried[:len(tried)-1], c.WithLastAttempt(true)
+			continue
 		}
 		if resp.Stream() != nil {
 			resp.Stream().Close()
@@ -402,7 +406,7 @@
 	released, unreachable := 0, 0
 	var lastErr error
 	for i, to := range ranked {
-		last := i > 0 && i == len(ranked)-1
+		last := i == len(ranked)-1
 		resp, err := e.attempt(e.withGiveUp(ctx, to, never), withVersion(cfg, c, to).WithLastAttempt(last), to)
 		row := gtkind.Of(err).Row()
 		if err == nil || row.Certainty() != gtkind.NotRun || !row.RetryElsewhere() || ctx.Err() != nil {
