gtnode: batches are reported to the first driver, while it takes them

Nodes of a new version sent its standby drivers up to 5 reports a second each, where the capacity page has 1, and dialled a driver that refuses connections up to 20 times a second.

Cause: a report of ten responses advanced the rounds of the schedule, and the time of the last report was that of the last one taken.

Evidence: TestBatchesAreReportedToTheFirstDriverWhileItTakesThem fails if batches go the way of rounds. Now they go to the first driver alone, unless it failed to take the last report.

--- a/core/version/gtcanary/schedule.go
+++ b/core/version/gtcanary/schedule.go
@@ -21,13 +21,19 @@
 	}
 	var due []string
 	for _, d := range drivers {
-		if last, ok := s.sent[d]; r.Total() > 0 && (!ok || r.isNewerThan(last)) {
+		if s.IsNew(d, r) {
 			due = append(due, d)
 		}
 	}
 	return due
 }
 
+// IsNew reports whether the report has counts that the driver has not been sent.
+func (s *ReportSchedule) IsNew(driver string, r Report) bool {
+	last, ok := s.sent[driver]
+	return r.Total() > 0 && (!ok || r.isNewerThan(last))
+}
+
 // Sent records that a driver was sent the report. Without it the driver is due
 // again in its next round.
 func (s *ReportSchedule) Sent(driver string, r Report) {
--- a/io/process/gtnode/drive.go
+++ b/io/process/gtnode/drive.go
@@ -6,6 +6,7 @@
 
 	"godwittide/core/process/gtmember"
 	"godwittide/core/process/gtrank"
+	"godwittide/core/version/gtcanary"
 	"godwittide/core/version/gtconfig"
 	"godwittide/core/version/gtmove"
 )
@@ -53,9 +54,13 @@
 		if due {
 			n.logMove(m, drivers, &logged)
 		}
-		if due || batch {
+		switch {
+		case due:
+			lastReport = n.timer.Time()
+			n.reporter.report(ctx, drivers, n.report())
+		case batch:
 			lastReport = n.timer.Time()
-			n.sendReport(ctx, drivers)
+			n.reporter.reportBatch(ctx, drivers, n.report())
 		}
 		if rank := rankOf(n.Settings.Node.Instance, drivers); rank >= 0 {
 			n.driveMove(ctx, m, rank)
@@ -97,10 +102,10 @@
 	return -1
 }
 
-// sendReport sends the node's outcome counts to the drivers that are due for them.
-func (n *Node) sendReport(ctx context.Context, drivers []gtmember.Record) {
+// report returns the node's outcome counts.
+func (n *Node) report() gtcanary.Report {
 	self := n.table.Self()
-	n.reporter.report(ctx, drivers, n.outcomes.Report(self.Instance(), self.Version()))
+	return n.outcomes.Report(self.Instance(), self.Version())
 }
 
 // driveMove evaluates a move and has its next state written, if a change is due. A
--- a/io/process/gtnode/reporter.go
+++ b/io/process/gtnode/reporter.go
@@ -32,7 +32,8 @@
 	mu       sync.Mutex
 	schedule gtcanary.ReportSchedule
 	inFlight map[string]bool
-	sentAt   map[string]time.Time
+	failed   map[string]bool      // drivers that didn't take their last report
+	begunAt  map[string]time.Time // time of the last report to a driver, taken or not
 }
 
 // report sends a report to those of the drivers, which are ordered by rank, that are due
@@ -43,15 +44,19 @@
 	}
 }
 
+// reportBatch sends a report between two rounds to the first of the drivers, unless that
+// didn't take its last one.
+func (rp *reporter) reportBatch(ctx context.Context, drivers []gtmember.Record, r gtcanary.Report) {
+	if len(drivers) > 0 && rp.beginBatch(drivers[0], r) {
+		rp.spawn(func() { rp.sendTo(ctx, drivers[0], r) })
+	}
+}
+
 // begin returns the drivers to send the report to: those that are due, or were sent none
 // for reportRefresh, and have no report under way.
 func (rp *reporter) begin(drivers []gtmember.Record, r gtcanary.Report) []gtmember.Record {
 	rp.mu.Lock()
 	defer rp.mu.Unlock()
-	if rp.inFlight == nil {
-		rp.inFlight, rp.sentAt = map[string]bool{}, map[string]time.Time{}
-	}
-	now := rp.now()
 	names := make([]string, len(drivers))
 	for i, d := range drivers {
 		names[i] = d.Instance()
@@ -60,25 +65,43 @@
 	due := rp.schedule.Due(names, r)
 	var out []gtmember.Record
 	for _, d := range drivers {
-		refresh := now.Sub(rp.sentAt[d.Instance()]) >= reportRefresh
-		if (refresh || slices.Contains(due, d.Instance())) && !rp.inFlight[d.Instance()] {
-			rp.inFlight[d.Instance()] = true
+		refresh := rp.now().Sub(rp.begunAt[d.Instance()]) >= reportRefresh
+		if (refresh || slices.Contains(due, d.Instance())) && rp.claim(d) {
 			out = append(out, d)
 		}
 	}
 	return out
 }
 
+func (rp *reporter) beginBatch(driver gtmember.Record, r gtcanary.Report) bool {
+	rp.mu.Lock()
+	defer rp.mu.Unlock()
+	return !rp.failed[driver.Instance()] && rp.schedule.IsNew(driver.Instance(), r) && rp.claim(driver)
+}
+
+// claim notes that a report to a driver is under way, and returns false if there is one
+// already. The caller holds the lock.
+func (rp *reporter) claim(driver gtmember.Record) bool {
+	if rp.inFlight == nil {
+		rp.inFlight, rp.failed, rp.begunAt = map[string]bool{}, map[string]bool{}, map[string]time.Time{}
+	}
+	if rp.inFlight[driver.Instance()] {
+		return false
+	}
+	rp.inFlight[driver.Instance()], rp.begunAt[driver.Instance()] = true, rp.now()
+	return true
+}
+
 // sendTo sends a report to one driver.
 func (rp *reporter) sendTo(ctx context.Context, to gtmember.Record, r gtcanary.Report) {
 	err := rp.send(ctx, to, r)
 	rp.mu.Lock()
 	defer rp.mu.Unlock()
 	delete(rp.inFlight, to.Instance())
+	rp.failed[to.Instance()] = err != nil
 	if err != nil {
 		rp.log.Debug().Err(err).Str("driver", to.Instance()).Msg("move: sending the report to a driver failed")
 		return
 	}
 	rp.schedule.Sent(to.Instance(), r)
-	rp.sentAt[to.Instance()] = rp.now()
 }
--- a/io/process/gtnode/reporter_test.go
+++ b/io/process/gtnode/reporter_test.go
@@ -63,3 +63,42 @@
 		time.Sleep(3 * time.Second)
 	})
 }
+
+// A driver that refused its reports was dialled after each ten responses, up to 20 times a
+// second, and those on standby got as many reports as the first.
+func TestBatchesAreReportedToTheFirstDriverWhileItTakesThem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		for _, refuses := range []bool{false, true} {
+			calls := map[string]int{}
+			var mu sync.Mutex
+			send := func(_ context.Context, to gtmember.Record, _ gtcanary.Report) error {
+				mu.Lock()
+				defer mu.Unlock()
+				calls[to.Instance()]++
+				if refuses {
+					return errors.New("connection refused")
+				}
+				return nil
+			}
+			rp := &reporter{now: time.Now, send: send, spawn: func(fn func()) { fn() }}
+			drivers := []gtmember.Record{gtmember.NewRecord("a", "z", "", ""), gtmember.NewRecord("b", "z", "", "")}
+			var counter gtcanary.OutcomeCounter
+			for i := range 10 * int(time.Second/minReportInterval) {
+				counter.Add("r", gtcanary.NewOutcome(true, time.Millisecond))
+				if r := counter.Report("i", "2"); i%int(drivePeriod/minReportInterval) == 0 {
+					rp.report(t.Context(), drivers, r)
+				} else {
+					rp.reportBatch(t.Context(), drivers, r)
+				}
+				time.Sleep(minReportInterval)
+			}
+			if refuses {
+				g.Expect(calls["a"]).To(gomega.BeNumerically("<=", 10*int(time.Second/drivePeriod)))
+			} else {
+				g.Expect(calls["a"]).To(gomega.Equal(10 * int(time.Second/minReportInterval)))
+			}
+			g.Expect(calls["b"]).To(gomega.BeNumerically("<=", 11))
+		}
+	})
+}
