--- a/core/request/gtinflight/table.go
+++ b/core/request/gtinflight/table.go
@@ -10,7 +10,7 @@
 //	ctx = gtinflight.NewContext(ctx, entry)
 //	gtinflight.FromContext(ctx).MoveTo(gtinflight.Working, "lending-1")
 //	entry.SetOutcome(gtinflight.Answered)
-//	for _, r := range requests.Oldest(20) { log(r.ID(), r.Stage(), r.Age()) }
+//	for _, r := range requests.Oldest(20) { log(r.ID(), r.Stage(), r.Began()) }
 //
 // Entries are in shards, each under its own lock. The methods of a nil Table or Entry do
 // nothing, so that parts can be used without one.
--- a/io/request/gthop/localbackend.go
+++ b/io/request/gthop/localbackend.go
@@ -55,8 +55,9 @@
 	// CheckDown checks the backend server and reports whether it refuses connections.
 	CheckDown func(ctx context.Context) bool
 	// MayRun returns an error with a kind of certainty NotRun if the call may not run:
-	// because of the backend server's version, or a shutdown of the node. It is called before the call waits for admission
-	// and again before it is sent. Nil means that all calls may.
+	// because of the backend server's version, or a shutdown of the node. It is called
+	// before the call waits for admission and again before it is sent. Nil means that all
+	// calls may.
 	MayRun func(c gtcall.Call) error
 	// ReadyAt returns when the backend server last became ready.
 	ReadyAt func() time.Time
