--- a/core/version/gtcanary/judge.go
+++ b/core/version/gtcanary/judge.go
@@ -1,7 +1,6 @@
 package gtcanary
 
 import (
-	"fmt"
 	"math"
 	"sync"
 	"time"
@@ -38,56 +37,6 @@
 	minSlowSamples = 20
 )
 
-// excessRates are the alternative hypotheses of the tests: by how much the new
-// version's rate exceeds the baseline, as a fraction of the difference between
-// the baseline and 1.
-var excessRates = [...]float64{0.04, 0.12, 0.35, 0.75}
-
-// allRoutes stands for all routes in an alarm. No route has this name.
-const allRoutes = "*"
-
-// Alarm is the finding that the new version is worse than the old one.
-type Alarm struct {
-	route    string
-	metric   string
-	rate     float64
-	baseline float64
-	requests uint64
-	counts   AlarmCounts
-}
-
-// AlarmCounts are the new version's outcomes on the route of an alarm.
-type AlarmCounts struct {
-	total, failed, timed, slow uint64
-}
-
-// Total returns the number of requests.
-func (c AlarmCounts) Total() uint64 { return c.total }
-
-// Failed returns the number of requests that failed.
-func (c AlarmCounts) Failed() uint64 { return c.failed }
-
-// Timed returns the number of requests whose latency was counted.
-func (c AlarmCounts) Timed() uint64 { return c.timed }
-
-// Slow returns the number of timed requests that were slow.
-func (c AlarmCounts) Slow() uint64 { return c.slow }
-
-// Counts returns the new version's outcomes on the route of the alarm.
-func (a Alarm) Counts() AlarmCounts { return a.counts }
-
-// String returns the metric, the route and the rates of both versions as text.
-func (a Alarm) String() string {
-	route := a.route
-	switch route {
-	case "":
-		route = "other routes"
-	case allRoutes:
-		route = "all routes"
-	}
-	return fmt.Sprintf("%s on route %s: %.1f%% of %d requests, old version %.1f%%", a.metric, route, 100*a.rate, a.requests, 100*a.baseline)
-}
-
 // routeStats holds the outcomes on one route and the state of its tests. The
 // baseline counts are the old version's, weighted by age.
 type routeStats struct {
@@ -112,9 +61,6 @@
 // other out there, so that these sums aren't scaled down.
 const allRoutesFactor = 1.25
 
-// cusum holds a cumulative sum of log-likelihood ratios for each of excessRates.
-type cusum [len(excessRates)]float64
-
 // Judge tests whether the new version of a service fails more often or is slower
 // than the old one. Its exported fields are set before use.
 type Judge struct {
@@ -307,22 +253,6 @@
 	return all
 }
 
-// failureAlarm returns the alarm for failures on the route.
-func (rs *routeStats) failureAlarm(route string) Alarm {
-	return Alarm{
-		route: route, metric: "failures", requests: rs.newTotal, counts: rs.counts(),
-		rate: ratio(float64(rs.newFailed), float64(rs.newTotal)), baseline: ratio(rs.baselineFailed, rs.baselineTotal),
-	}
-}
-
-// slownessAlarm returns the alarm for slow answers on the route.
-func (rs *routeStats) slownessAlarm(route string) Alarm {
-	return Alarm{
-		route: route, metric: "slow answers", requests: rs.newTimed, counts: rs.counts(),
-		rate: ratio(float64(rs.newSlow), float64(rs.newTimed)), baseline: ratio(rs.baselineSlow, rs.baselineTimed),
-	}
-}
-
 // slowBucket returns the index of the first latency bucket that counts as slow,
 // and the weight of the old version's timed responses from which it is computed.
 func (rs *routeStats) slowBucket() (int, float64) {
@@ -350,54 +280,6 @@
 	return slow, total
 }
 
-// upperRate returns an upper estimate of the rate of hits: the rate with Laplace
-// smoothing plus one standard error, at most 0.9. It is above zero even without
-// hits, the more so for few samples.
-func upperRate(hits, total float64) float64 {
-	p := (hits + 1) / (total + 2)
-	return math.Min(0.9, p+math.Sqrt(p*(1-p)/(total+2)))
-}
-
-func ratio(hits, total float64) float64 {
-	if total == 0 {
-		return 0
-	}
-	return hits / total
-}
-
-// likelihoodRatios returns the log-likelihood ratio of hits out of total requests
-// against the baseline rate, for each of excessRates.
-func likelihoodRatios(hits, total uint64, baseline float64) cusum {
-	var ratios cusum
-	for i, excess := range excessRates {
-		q := baseline + excess*(1-baseline)
-		ratios[i] = float64(hits)*math.Log(q/baseline) + float64(total-hits)*math.Log((1-q)/(1-baseline))
-	}
-	return ratios
-}
-
-// add adds log-likelihood ratios to the sums, and returns the largest sum.
-func (s *cusum) add(ratios cusum) float64 {
-	for i, r := range ratios {
-		s[i] = math.Max(0, s[i]+r)
-	}
-	return s.peak()
-}
-
-// peak returns the largest sum.
-func (s *cusum) peak() float64 {
-	peak := 0.0
-	for _, v := range s {
-		peak = math.Max(peak, v)
-	}
-	return peak
-}
-
-// counts returns the new version's outcomes.
-func (rs *routeStats) counts() AlarmCounts {
-	return AlarmCounts{total: rs.newTotal, failed: rs.newFailed, timed: rs.newTimed, slow: rs.newSlow}
-}
-
 // raise records an alarm unless there is one already.
 func (j *Judge) raise(a Alarm) {
 	if j.alarm == nil {
