gtdrain: one way to begin a shutdown

Begin had no caller left but a test since shutdowns begin at the time of their order. It takes that time now, in place of BeginAt; the tests ask the same.

--- a/core/process/gtdrain/drain.go
+++ b/core/process/gtdrain/drain.go
@@ -6,7 +6,7 @@
 // # Usage
 //
 //	drain := &gtdrain.Drain{Now: timer.Time, Linger: linger, Limit: limit}
-//	drain.Begin()
+//	drain.Begin(ordered)
 //	if !drain.MayBegin(deadline) { ... refuse: it has not run ... }
 //	timer.After(drain.Left())
 package gtdrain
@@ -30,12 +30,9 @@
 	begun gttimer.Moment
 }
 
-// Begin begins the shutdown. It is called once.
-func (d *Drain) Begin() { d.begun.Set(d.Now()) }
-
-// BeginAt is like Begin for a shutdown that may have been ordered earlier, but takes at most
-// half of Limit away from the requests in flight.
-func (d *Drain) BeginAt(ordered time.Time) {
+// Begin begins a shutdown that was ordered at the given time, which may be earlier than now.
+// That takes at most half of Limit away from the requests in flight. It is called once.
+func (d *Drain) Begin(ordered time.Time) {
 	now := d.Now()
 	if earliest := now.Add(-d.Limit / 2); ordered.Before(earliest) {
 		ordered = earliest
--- a/core/process/gtdrain/drain_test.go
+++ b/core/process/gtdrain/drain_test.go
@@ -17,7 +17,7 @@
 	g.Expect(d.MayBegin(start.Add(time.Hour))).To(gomega.BeTrue(), "no shutdown")
 	g.Expect(d.Begun()).To(gomega.BeFalse())
 	g.Expect(d.EndsBefore(start.Add(time.Hour))).To(gomega.BeFalse())
-	d.Begin()
+	d.Begin(start)
 	g.Expect(d.Begun()).To(gomega.BeTrue())
 	g.Expect(d.EndsBefore(start.Add(5 * time.Second))).To(gomega.BeFalse())
 	g.Expect(d.EndsBefore(start.Add(5*time.Second + 1))).To(gomega.BeTrue())
@@ -51,7 +51,7 @@
 	now := time.Unix(1000, 0)
 	for ordered, left := range map[time.Duration]time.Duration{0: 5 * time.Second, 1200 * time.Millisecond: 3800 * time.Millisecond, time.Minute: 2500 * time.Millisecond} {
 		d := &Drain{Now: func() time.Time { return now }, Linger: 2 * time.Second, Limit: 5 * time.Second}
-		d.BeginAt(now.Add(-ordered))
+		d.Begin(now.Add(-ordered))
 		g.Expect(d.Left()).To(gomega.Equal(left))
 	}
 }
--- a/io/process/gtnode/shutdown.go
+++ b/io/process/gtnode/shutdown.go
@@ -33,7 +33,7 @@
 func (n *Node) shutDown(ctx context.Context) {
 	n.Log.Info().Msg("node: draining")
 	begun, before := n.timer.Time(), n.requests.Outcomes()
-	n.drain.BeginAt(n.timer.EarliestArrival())
+	n.drain.Begin(n.timer.EarliestArrival())
 	drainTimeout := n.timer.After(n.drain.Left())
 	defer drainTimeout.Stop()
 	// The backend server may keep running and serve requests during the linger
