--- a/io/process/gtnode/movelog.go
+++ b/io/process/gtnode/movelog.go
@@ -33,9 +33,8 @@
 		n.Log.Info().Str("move", m.Name()).Str("drivers", next.drivers).Int("rank", rankOf(n.Settings.Node.Instance, drivers)).Msg("move: drivers")
 	}
 	if next.seq != last.seq || next.halted != last.halted {
-		self := n.table.Self()
-		r := n.outcomes.Report(self.Instance(), self.Version())
-		n.Log.Info().Str("move", m.Name()).Int64("seq", state.Seq()).Bool("halted", halted).Str("backend", self.Version()).
+		r := n.report()
+		n.Log.Info().Str("move", m.Name()).Int64("seq", state.Seq()).Bool("halted", halted).Str("backend", r.Version()).
 			Uint64("requests", r.Total()).Object("omitted", &n.omissions).Msg("move: own evidence")
 	}
 	*last = next
--- a/test/mesh/stopkey_test.go
+++ b/test/mesh/stopkey_test.go
@@ -37,17 +37,25 @@
 	})
 })
 
-// newStoppingCluster returns a cluster of two nodes in one zone, with a route whose timeout
-// is longer than a shutdown.
-func newStoppingCluster() (*gtcluster.Cluster, []*gtcluster.Site) {
-	cluster := newCluster()
+// stoppingSpec is the spec of nodes that shut down as on the users' platform.
+func stoppingSpec() gtcluster.SiteSpec {
 	spec := gtcluster.SiteSpec{Service: "lending", Version: "1", ServiceTime: 20 * time.Millisecond, Slots: 100}
 	spec.EditSettings = func(s *gtsettings.Settings) {
 		s.Limit.LingerPeriod, s.Limit.RefusePeriod = gtsettings.Duration(2100*time.Millisecond), gtsettings.Duration(400*time.Millisecond)
 		s.Limit.DrainTimeout = gtsettings.Duration(5200 * time.Millisecond)
 	}
-	sites := addSites(cluster, 2, spec, "z1")
-	pushConfig(cluster, map[string]string{"10-base.toml": strings.Replace(baseConfig, "2s", "9s", 1)})
+	return spec
+}
+
+// longTimeoutConfig is a configuration whose timeout is longer than a shutdown.
+var longTimeoutConfig = strings.Replace(baseConfig, "2s", "9s", 1)
+
+// newStoppingCluster returns a cluster of two nodes in one zone, with a route whose timeout
+// is longer than a shutdown.
+func newStoppingCluster() (*gtcluster.Cluster, []*gtcluster.Site) {
+	cluster := newCluster()
+	sites := addSites(cluster, 2, stoppingSpec(), "z1")
+	pushConfig(cluster, map[string]string{"10-base.toml": longTimeoutConfig})
 	sleep(time.Second)
 	return cluster, sites
 }
