gtstandin: other nodes watch the store while the watchers have no success

Cause: watchStore looks at the rank only. A watcher that the store fails keeps its rank for as long as it lives, and one that has lost power until its peers suspect it.

Change: gtstandin decides when the two nodes that rank behind the watchers of a zone watch too: after 1.2 and 1.7 s without a notice that a node before them watches with success, and for 10 s at least. Watchers send the notices each 400 ms to these two nodes only, on the overlay's links or direct ones ("watching"). A stand-in writes no contact. A flood of the newest call's age was weighed: a message on each link twice a second.

--- a/core/process/gtrank/rank.go
+++ b/core/process/gtrank/rank.go
@@ -20,6 +20,9 @@
 	// ZoneWatchers is the number of nodes in each availability zone that watch the
 	// store.
 	ZoneWatchers = 2
+	// ZoneStandIns is the number of nodes in each zone, ranked right behind its
+	// watchers, that watch the store while the watchers have no success.
+	ZoneStandIns = 2
 	// MoveDrivers is the number of nodes that collect the reports on a move. The
 	// first of them drives the move, the others are on standby.
 	MoveDrivers = 3
--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -29,6 +29,7 @@
 	"godwittide/core/process/gtdrain"
 	"godwittide/core/process/gtheartbeat"
 	"godwittide/core/process/gtmember"
+	"godwittide/core/process/gtstandin"
 	"godwittide/core/process/gttimer"
 	"godwittide/core/request/gtadmission"
 	"godwittide/core/request/gtdedup"
@@ -74,9 +75,10 @@
 	// format of the operators' folder.
 	ParseFiles func(files map[string]string) (*gtconfig.Config, []gtconfig.Problem)
 	// WatchConfig passes the operators' configuration to Install until ctx ends. It
-	// is called while this node is a watcher of the store; nil means
-	// watching the operators' folder in Store.
-	WatchConfig func(ctx context.Context)
+	// is called while this node is a watcher of the store, and calls onResult with
+	// whether its newest call of the store had success; nil means watching the
+	// operators' folder in Store.
+	WatchConfig func(ctx context.Context, onResult func(ok bool))
 	// LoadConfig passes the operators' configuration to Install once, as it was some
 	// seconds ago. It is called when neither this node nor its peers have one; nil
 	// means waiting for the watchers.
@@ -127,6 +129,7 @@
 	hopHandler   *gthop.Handler
 	edge         *gtedge.Edge
 
+	standIn        gtstandin.StandIn
 	judges         judges
 	reporter       reporter
 	omissions      omissions
@@ -254,6 +257,7 @@
 	n.table.SetSelf(self)
 	n.downDamper.Now = now
 	n.judges.now = now
+	n.standIn.Now = now
 	n.judges.raised, n.judges.batches = make(chan struct{}, 1), make(chan struct{}, 1)
 }
 
@@ -311,7 +315,7 @@
 	n.overlay = &gtoverlay.Overlay{
 		Timer: n.timer, Log: n.Log, Cluster: cfg.Node.Cluster, Dial: n.dialNode, Seeds: cfg.Node.Peers,
 		Table: n.table, Holder: n.holder, Moves: n.moves, Crashes: n.crashes,
-		Install: n.installVersion, OnReport: n.judges.addReport, OnHalt: n.logHalt,
+		Install: n.installVersion, OnReport: n.judges.addReport, OnHalt: n.logHalt, OnWatching: n.noteWatching,
 	}
 	n.reporter.log, n.reporter.now, n.reporter.send, n.reporter.spawn = n.Log, n.timer.Time, n.overlay.SendReport, n.wg.Go
 	if n.Heartbeats != nil {
--- a/io/process/gtnode/watch.go
+++ b/io/process/gtnode/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -48,8 +49,9 @@
 )
 
 // watchStore watches the store while this node is a watcher, until ctx ends. It is
-// one while it ranks among the watchers of its zone. That is known only some time
-// after it has joined its peers; until then it is one if no peer has answered.
+// one while it ranks among the watchers of its zone, or stands in for them. That is
+// known only some time after it has joined its peers; until then it is one if no peer
+// has answered.
 func (n *Node) watchStore(ctx context.Context) {
 	ticker := n.timer.Every(rankCheckPeriod, 0.2)
 	defer ticker.Stop()
@@ -64,23 +66,36 @@
 		if joinedAt.IsZero() && !alone && n.overlay.CountLinks() == 0 {
 			alone = n.bootstrap(ctx)
 		}
-		assigned := alone && !ranked || ranked && n.watchRank() < gtrank.ZoneWatchers
-		assigned = assigned && !n.drain.Begun()
-		if assigned && task == nil {
+		assigned, standsIn, recheck := alone && !ranked, false, rankCheckPeriod
+		if ranked {
+			rank := n.watchRank()
+			assigned = rank < gtrank.ZoneWatchers
+			standsIn, recheck = n.standIn.Decide(rank)
+		}
+		watches := (assigned || standsIn) && !n.drain.Begun()
+		if watches && task == nil {
+			n.Log.Info().Bool("standin", !assigned).Msg("watch: this node became a watcher of the store")
 			task = n.startWatchTask(ctx)
 		}
-		if !assigned && task != nil {
+		if watches && assigned {
+			task.listContact()
+		}
+		if !watches && task != nil {
 			task.stop()
 			task = nil
 		}
+		deadline := n.timer.After(recheck)
 		select {
 		case <-ctx.Done():
+			deadline.Stop()
 			if task != nil {
 				task.stop()
 			}
 			return
 		case <-ticker.C():
+		case <-deadline.C():
 		}
+		deadline.Stop()
 	}
 }
 
@@ -88,12 +103,16 @@
 type watchTask struct {
 	cancel context.CancelFunc
 	done   chan struct{}
+	// listContact keeps the node listed as a contact in the store until the task ends.
+	// Only the first call has an effect.
+	listContact func()
 }
 
 // startWatchTask starts watching the store until ctx ends or the task is stopped.
 func (n *Node) startWatchTask(ctx context.Context) *watchTask {
 	ctx, cancel := context.WithCancel(ctx)
 	t := &watchTask{cancel: cancel, done: make(chan struct{})}
+	t.listContact = sync.OnceFunc(func() { n.wg.Go(func() { n.keepContact(ctx) }) })
 	n.wg.Go(func() {
 		defer close(t.done)
 		n.runWatchTask(ctx)
@@ -124,21 +143,22 @@
 	return gtrank.Rank("accept", n.Settings.Node.Instance, watchers)
 }
 
-// runWatchTask watches the configuration, and keeps this node listed as a contact,
-// until ctx ends.
+// runWatchTask watches the configuration, and tells the stand-ins of its success, until
+// ctx ends.
 func (n *Node) runWatchTask(ctx context.Context) {
-	n.Log.Info().Msg("watch: this node became a watcher of the store")
-	n.wg.Go(func() { n.keepContact(ctx) })
+	notices := &watchNotices{changed: make(chan struct{}, 1)}
+	n.wg.Go(func() { n.sendWatchNotices(ctx, notices) })
 	if n.WatchConfig != nil {
-		n.WatchConfig(ctx)
+		n.WatchConfig(ctx, notices.setSuccess)
 		return
 	}
-	n.watchFolder(ctx)
+	n.watchFolder(ctx, notices.setSuccess)
 }
 
 // watchFolder reads the operators' folder in the store on each watch event and each
-// pollPeriod, and reconciles the active version with it, until ctx ends.
-func (n *Node) watchFolder(ctx context.Context) {
+// pollPeriod, and reconciles the active version with it, until ctx ends. It calls
+// onResult with the success of each read.
+func (n *Node) watchFolder(ctx context.Context, onResult func(ok bool)) {
 	changed := make(chan struct{}, 1)
 	poll := n.timer.Every(pollPeriod, 0.2)
 	defer poll.Stop()
@@ -146,6 +166,7 @@
 	var watching bool
 	for ctx.Err() == nil {
 		state, err := n.configStore.Read(ctx)
+		onResult(err == nil)
 		if err == nil {
 			if !watching {
 				watching = true
--- a/io/process/gtoverlay/facts.go
+++ b/io/process/gtoverlay/facts.go
@@ -67,6 +67,12 @@
 		return VersionID{Version: snapshot.Version(), Checksum: snapshot.Checksum()}, nil
 	case "report":
 		return nil, o.serveReport(pl, params)
+	case "watching":
+		pl.lastUsed.Set(o.Timer.Time())
+		if o.OnWatching != nil {
+			o.OnWatching(pl.instance)
+		}
+		return nil, nil
 	default:
 		return nil, errorx.IllegalFormat.New("unknown method %.40q", method)
 	}
--- a/io/process/gtoverlay/fetch.go
+++ b/io/process/gtoverlay/fetch.go
@@ -142,6 +142,17 @@
 	return nil
 }
 
+// SendWatching sends word to an instance that this node watches the store with success.
+// It does not wait for a response.
+func (o *Overlay) SendWatching(ctx context.Context, to gtmember.Record) error {
+	pl, err := o.linkTo(ctx, to)
+	if err != nil {
+		return err
+	}
+	pl.link.Notify("watching", struct{}{})
+	return nil
+}
+
 // ActiveVersionOf asks an instance for the number of its active version. It
 // returns -1 if the instance doesn't respond.
 func (o *Overlay) ActiveVersionOf(ctx context.Context, r gtmember.Record) int64 {
--- a/io/process/gtoverlay/overlay.go
+++ b/io/process/gtoverlay/overlay.go
@@ -103,6 +103,9 @@
 	OnHalt func(h gtmove.Halt, peer string)
 	// OnReport is called with each report that was sent to this node.
 	OnReport func(r gtcanary.Report)
+	// OnWatching is called with each instance that has sent word that it watches the
+	// store with success; nil means that nothing is done.
+	OnWatching func(instance string)
 
 	planner       gtlink.Planner
 	links         gtshard.Map[*peerLink]
