gtcanary: test the whole histogram of latencies against a shifted one

Cause: the test on slowness looks at one limit, 1.3 times the old version's 0.9 quantile. Where latencies vary much (sigma 1.2) half of the answers that are slow 8 times lie below it.

Change: a third CUSUM test takes the old version's smoothed histogram and compares the hypotheses that 35 or 75% of the new version's answers are 2, 4 or 8 times as slow with those that all are as before, or slower by a bucket (15%), and 2% as slow as in the hypothesis. Thresholds as for the limit.

No existing test is changed.

--- a/core/version/gtcanary/counter.go
+++ b/core/version/gtcanary/counter.go
@@ -15,8 +15,9 @@
 // Each report holds all counts since the start of the instance, so a lost or
 // repeated report does no harm.
 //
-// The judge runs two sequential tests for each route and for all of them together, on
-// failures and on slow responses. Each is a CUSUM test (Page, 1954): a cumulative sum of
+// The judge runs three sequential tests for each route and for all of them together: on
+// failures, on slow responses, and on the whole histogram of latencies. Each is a CUSUM
+// test (Page, 1954): a cumulative sum of
 // log-likelihood ratios of the new version's rate against the old version's at
 // the same time. The threshold bounds the rate of false alarms; how soon a fault
 // is detected depends on its size.
--- a/core/version/gtcanary/judge.go
+++ b/core/version/gtcanary/judge.go
@@ -48,13 +48,17 @@
 	tests
 }
 
-// tests holds the state of the two tests.
+// tests holds the state of the three tests.
 type tests struct {
 	failures, slowness cusum
+	shift              shiftSums
 }
 
-// peak returns the highest sum of both tests.
-func (t *tests) peak() float64 { return math.Max(t.failures.peak(), slowWeight*t.slowness.peak()) }
+// peak returns the highest sum of all tests. The sums on latencies are multiplied by
+// weight.
+func (t *tests) peak(weight float64) float64 {
+	return math.Max(t.failures.peak(), weight*math.Max(t.slowness.peak(), t.shift.peak()))
+}
 
 // allRoutesFactor is the threshold for the sums of all routes, as a multiple of that for
 // one: they hold many more responses. Uncertain limits for slow responses balance each
@@ -234,9 +238,24 @@
 	if j.all.slowness.add(ratios) > allRoutesFactor*j.Threshold {
 		j.raise(j.sum().slownessAlarm(allRoutes))
 	}
+	if baselineTimed >= minShiftSamples {
+		j.testShift(route, rs, c, baselineTimed)
+	}
 	return total
 }
 
+// testShift tests the whole histogram of the latencies in c, counted for the new version,
+// against the baseline.
+func (j *Judge) testShift(route string, rs *routeStats, c Counts, baselineTimed float64) {
+	ratios := rs.shiftRatios(c.latencyCounts, baselineTimed)
+	if slowWeight*rs.shift.add(ratios) > j.Threshold {
+		j.raise(rs.slownessAlarm(route))
+	}
+	if j.all.shift.add(ratios) > allRoutesFactor*j.Threshold {
+		j.raise(j.sum().slownessAlarm(allRoutes))
+	}
+}
+
 // sum returns the outcomes of all routes.
 func (j *Judge) sum() *routeStats {
 	all := &routeStats{}
@@ -301,9 +320,9 @@
 // updateAlarmLevel sets the alarm level to the highest sum of all tests as a
 // fraction of the threshold.
 func (j *Judge) updateAlarmLevel() {
-	j.alarmLevel = math.Max(j.all.failures.peak(), j.all.slowness.peak()) / (allRoutesFactor * j.Threshold)
+	j.alarmLevel = j.all.peak(1) / (allRoutesFactor * j.Threshold)
 	for _, rs := range j.routes {
-		j.alarmLevel = max(j.alarmLevel, rs.peak()/j.Threshold)
+		j.alarmLevel = max(j.alarmLevel, rs.peak(slowWeight)/j.Threshold)
 	}
 }
 
