gtnode: a caller's connection without a request yet is kept open as an idle one

No backend server ran it.

Clients open connections before they need them (net/http's Transport keeps one that it has dialled while another became free), and send a request that is not idempotent once only on one that was never used.

Change: limitListener gives a caller's connection idleTimeout for its first byte; the time for the head begins with that byte. The number of connections is bounded as before.

A head that is sent slowly is still cut off 10 s after its first byte.

--- a/io/process/gtnode/serve.go
+++ b/io/process/gtnode/serve.go
@@ -167,7 +167,7 @@
 		n.servers.edgeConns.notice = closeNotice
 	}
 	n.servers.edge.ConnContext, n.servers.hop.ConnContext = gtsocket.WithConn, gtsocket.WithConn
-	edge := &limitListener{Listener: l.edge, maxConns: int64(n.Settings.Limit.MaxCallerConnections)}
+	edge := &limitListener{Listener: l.edge, maxConns: int64(n.Settings.Limit.MaxCallerConnections), silentTimeout: idleTimeout}
 	for _, s := range []struct {
 		server *http.Server
 		ln     net.Listener
@@ -234,7 +234,12 @@
 type limitListener struct {
 	net.Listener
 	maxConns int64
-	open     atomic.Int64
+	// silentTimeout is how long a connection may stay open before its first byte; 0 means
+	// until the read deadline that its server sets. A client may open connections before
+	// it has requests for them. One that is closed just as its first request comes fails
+	// that request, which a client does not send again if it is not idempotent.
+	silentTimeout time.Duration
+	open          atomic.Int64
 }
 
 // Accept returns the next connection within the limit.
@@ -259,6 +264,8 @@
 	listener *limitListener
 	once     sync.Once
 	received atomic.Bool
+	begun    atomic.Bool  // bytes have been received
+	headTime atomic.Int64 // time for the first request from its first byte on, or 0
 }
 
 // Read reads from the connection.
@@ -266,10 +273,24 @@
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.received.Store(true)
+		if d := c.headTime.Load(); !c.begun.Swap(true) && d > 0 {
+			_ = c.Conn.SetReadDeadline(time.Now().Add(time.Duration(d)))
+		}
 	}
 	return n, err
 }
 
+// SetReadDeadline sets the read deadline. Before the first byte, the time until then begins
+// with that byte, which has to come within the listener's silentTimeout.
+func (c *limitConn) SetReadDeadline(t time.Time) error {
+	left := time.Until(t)
+	if c.listener.silentTimeout == 0 || c.begun.Load() || t.IsZero() || left <= 0 {
+		return c.Conn.SetReadDeadline(t)
+	}
+	c.headTime.Store(int64(left))
+	return c.Conn.SetReadDeadline(time.Now().Add(max(left, c.listener.silentTimeout)))
+}
+
 // hasReceived reports whether bytes have been received since the last call of
 // resetReceived.
 func (c *limitConn) hasReceived() bool { return c.received.Load() }
