gtaccount, gtconfig: client accounts in the configuration

Callers saw: nothing; a deployment could not tell its clients apart. Cause: the configuration had no accounts. Routes can be open, and translate an account's priority into a rank.

--- a/core/version/gtconfig/config.go
+++ b/core/version/gtconfig/config.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"godwittide/core/version/gtaccount"
 )
 
 // Class is the priority class of a request at admission; a lower value is more
@@ -101,10 +103,19 @@
 	methods      []string
 	idempotency  Idempotency
 	class        Class
+	rankSteps    []rankStep
+	open         bool
 	maxAttempts  int
 	timeout      time.Duration
 }
 
+// rankStep is a condition on an account's priority: it is above limit, or equal to
+// it if inclusive is set.
+type rankStep struct {
+	limit     float64
+	inclusive bool
+}
+
 // Idempotency defines which requests of a route are idempotent.
 type Idempotency int
 
@@ -148,6 +159,29 @@
 // Class returns the priority class of the route's requests.
 func (r Route) Class() Class { return r.class }
 
+// ClassFor returns the priority class of a request on the route on behalf of an
+// account: the class Fast stays, and otherwise the account's rank takes precedence
+// over the route's. If the route has conditions on the account's priority, the rank
+// is the number of those that hold.
+func (r Route) ClassFor(a gtaccount.Account) Class {
+	if !a.HasRank() || r.class == Fast {
+		return r.class
+	}
+	if r.rankSteps == nil {
+		return Normal + Class(min(max(a.Rank(), 0), MaxRank))
+	}
+	rank := 0
+	for _, s := range r.rankSteps {
+		if a.Rank() > s.limit || s.inclusive && a.Rank() == s.limit {
+			rank++
+		}
+	}
+	return Normal + Class(rank)
+}
+
+// IsOpen reports whether requests on the route need no account's key.
+func (r Route) IsOpen() bool { return r.open }
+
 // Timeout returns the timeout of a call, or 0 if the service's timeout applies.
 func (r Route) Timeout() time.Duration { return r.timeout }
 
@@ -257,10 +291,11 @@
 	moves        []Move
 	moveIndex    map[string]int
 	drainedZones map[string]bool
+	accounts     *gtaccount.Index
 	checksum     string
 }
 
-// Empty returns a configuration without services, routes, moves or zones.
+// Empty returns a configuration without services, routes, moves, zones or accounts.
 func Empty() *Config {
 	cfg, _ := Merge(nil)
 	return cfg
@@ -298,6 +333,9 @@
 	return c.moves[i], true
 }
 
+// Accounts returns the client accounts. Without any, requests need no key.
+func (c *Config) Accounts() *gtaccount.Index { return c.accounts }
+
 // IsZoneDrained reports whether operators have drained the availability zone.
 func (c *Config) IsZoneDrained(zone string) bool { return c.drainedZones[zone] }
 
--- a/core/version/gtconfig/merge.go
+++ b/core/version/gtconfig/merge.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"godwittide/core/version/gtaccount"
 )
 
 // The defaults of optional keys, and the limits of values, files and folders.
@@ -48,7 +50,9 @@
 	"route": {
 		"service": TypeString, "split": TypeList, "host": TypeString, "path": TypeString, "method": TypeList,
 		"repeat": TypeBool, "class": TypeString, "rank": TypeNumber, "attempts": TypeNumber, "timeout": TypeString,
+		"open": TypeBool, "ranks": TypeList,
 	},
+	"account": {"keys": TypeList, "rank": TypeNumber, "priority": TypeNumber},
 	"move": {
 		"service": TypeString, "from": TypeString, "to": TypeString, "by": TypeTime, "within": TypeString,
 		"start": TypeNumber, "watch": TypeString,
@@ -79,8 +83,8 @@
 	return cfg, nil
 }
 
-// entrySet holds the merged entries of one service, route, move or zone, by
-// key.
+// entrySet holds the merged entries of one service, route, move, zone or account,
+// by key.
 type entrySet map[string]*Entry
 
 // merger collects entries by section and name, and the problems found.
@@ -96,7 +100,7 @@
 func (m *merger) add(e *Entry) {
 	knownKeys, ok := sectionKeys[e.section]
 	if !ok {
-		m.reject(e, "unknown section %q; use service, route, move or zone", e.section)
+		m.reject(e, "unknown section %q; use service, route, move, zone or account", e.section)
 		return
 	}
 	if e.name == "" || e.key == "" {
@@ -157,6 +161,7 @@
 			cfg.drainedZones[name] = true
 		}
 	}
+	cfg.accounts = m.accounts()
 	sortRoutes(cfg.routes)
 	for _, r := range cfg.routes {
 		cfg.routeNames[r.name] = true
@@ -196,7 +201,11 @@
 			r.idempotency = IdempotencyAlways
 		}
 	}
+	if e, ok := es["open"]; ok {
+		r.open = e.value.boolean
+	}
 	r.class = Normal + Class(m.number(es, "rank", 0, MaxRank))
+	r.rankSteps = m.rankSteps(es)
 	switch es.text("class") {
 	case "", "normal":
 	case "fast":
@@ -207,6 +216,80 @@
 	return r
 }
 
+// rankSteps returns the steps under the key ranks, in their order.
+func (m *merger) rankSteps(es entrySet) []rankStep {
+	e, ok := es["ranks"]
+	if !ok {
+		return nil
+	}
+	var steps []rankStep
+	for _, text := range e.value.list {
+		limit, inclusive := strings.CutPrefix(text, ">=")
+		if !inclusive {
+			limit = strings.TrimPrefix(text, ">")
+		}
+		f, err := strconv.ParseFloat(limit, 64)
+		if err != nil || limit == text || len(steps) == MaxRank {
+			m.reject(e, "expected at most %d conditions on the account's priority such as \">0\" or \">=2\", found %.60q", MaxRank, text)
+			return nil
+		}
+		steps = append(steps, rankStep{limit: f, inclusive: inclusive})
+	}
+	return steps
+}
+
+// accounts returns the index of the client accounts. A problem with a key names
+// the accounts, but never the key.
+func (m *merger) accounts() *gtaccount.Index {
+	var accounts []gtaccount.Account
+	var keys []gtaccount.Key
+	owners := map[gtaccount.Digest]*Entry{}
+	for _, name := range m.sortedNames("account") {
+		es := m.sections["account"][name]
+		accounts = append(accounts, m.account(name, es))
+		e, ok := es["keys"]
+		if !ok {
+			m.reject(es.entryOrPlaceholder("account", name, "keys"), "an account needs keys; keys = [] refuses all of its requests")
+			continue
+		}
+		for i, text := range e.value.list {
+			digest, err := gtaccount.ParseKey(text)
+			if err != nil {
+				m.reject(e, "key %d: %s", i+1, err)
+				continue
+			}
+			owner, taken := owners[digest]
+			switch {
+			case !taken:
+				owners[digest] = e
+				keys = append(keys, gtaccount.NewKey(digest, len(accounts)-1))
+			case owner.name != name:
+				m.reject(e, "key %d is also one of account %q (%s); a key belongs to one account", i+1, owner.name, owner.location())
+			default:
+			}
+		}
+	}
+	return gtaccount.NewIndex(accounts, keys)
+}
+
+// account returns an account with its rank or priority.
+func (m *merger) account(name string, es entrySet) gtaccount.Account {
+	a := gtaccount.NewAccount(name)
+	if !gtaccount.IsValidName(name) {
+		m.reject(es.entryOrPlaceholder("account", name, "keys"), "an account's name has at most %d bytes, no control characters and no space at its ends", gtaccount.MaxNameBytes)
+	}
+	if _, ok := es["rank"]; ok {
+		a = a.WithRank(m.number(es, "rank", 0, MaxRank))
+	}
+	if e, ok := es["priority"]; ok {
+		if a.HasRank() {
+			m.reject(e, "an account takes either rank or priority, not both")
+		}
+		a = a.WithRank(e.value.number)
+	}
+	return a
+}
+
 // destinations returns the services that receive a route's requests, with their
 // weights.
 func (m *merger) destinations(cfg *Config, name string, es entrySet) []Destination {
--- a/core/version/gtconfig/value.go
+++ b/core/version/gtconfig/value.go
@@ -1,6 +1,6 @@
 // Package gtconfig holds the operators' configuration: the entries of a folder
 // of files, a pure function that merges and checks them, and the resulting
-// services, routes, moves and zones.
+// services, routes, moves, zones and client accounts.
 //
 // # Usage
 //
@@ -113,6 +113,14 @@
 	return joinDotted(e.section, e.name, e.key)
 }
 
+// location returns file:line, or the file alone if the line is not known.
+func (e Entry) location() string {
+	if e.line == 0 {
+		return e.file
+	}
+	return fmt.Sprintf("%s:%d", e.file, e.line)
+}
+
 // joinDotted joins the non-empty parts with dots.
 func joinDotted(parts ...string) string {
 	var kept []string
@@ -169,10 +177,7 @@
 // String returns the problem as file:line: key: reason, without the line if it
 // is 0 and without the key if it is empty.
 func (p Problem) String() string {
-	location := p.file
-	if p.line > 0 {
-		location = fmt.Sprintf("%s:%d", p.file, p.line)
-	}
+	location := Entry{file: p.file, line: p.line}.location()
 	if p.key == "" {
 		return location + ": " + p.reason
 	}
--- a/io/version/gtfolder/folder.go
+++ b/io/version/gtfolder/folder.go
@@ -152,9 +152,13 @@
 	if err := toml.Unmarshal([]byte(text), &tree); err != nil {
 		var decodeErr *toml.DecodeError
 		if !errors.As(err, &decodeErr) {
-			return reject(0, "", err.Error())
+			return reject(0, "", "not valid TOML")
 		}
 		line, _ := decodeErr.Position()
+		if strings.Contains(text, "account") {
+			// The decoder's message may quote a value, which may be an account's key.
+			return reject(line, "", "not valid TOML; the message is left out, as the file may hold keys of accounts")
+		}
 		return reject(line, strings.Join(decodeErr.Key(), "."), strings.TrimPrefix(decodeErr.Error(), "toml: "))
 	}
 	lines := keyLines(text)
--- a/io/version/gtfolder/folder_test.go
+++ b/io/version/gtfolder/folder_test.go
@@ -196,3 +196,16 @@
 		}
 	})
 }
+
+// The decoder's messages quote values, and a file with accounts holds keys.
+func TestSyntaxErrorsNeverHoldKeys(t *testing.T) {
+	const secret = "98765432109876543210"
+	for _, value := range []string{"[" + secret + "]", "[" + secret + "e999999]", `["` + secret, secret + "x", `["x" "` + secret + `"]`} {
+		g := gomega.NewWithT(t)
+		_, problems := (&Parser{}).Merge(map[string]string{"a.toml": "[account.a]\nkeys = " + value + "\n"})
+		g.Expect(problems).NotTo(gomega.BeEmpty())
+		texts := strings.Join(FormatProblems(problems), "\n")
+		g.Expect(texts).To(gomega.HavePrefix("a.toml:2: "), value)
+		g.Expect(texts).NotTo(gomega.ContainSubstring(secret))
+	}
+}
