gtedge, gthop: requests are authenticated, and carry the account on their whole path

Callers saw: any request was served, and a backend server could not tell on whose behalf. Cause: nothing looked at a key. Change: with accounts in the active configuration a request on a route that is not open needs one valid key, before its body is read; otherwise it gets 401 (kind unauthenticated, not run). The node that the caller connects to removes the key and any account name that the caller wrote. Its rank gives the request's class. Idempotency keys of different accounts are kept apart.

--- a/core/request/gtcall/call.go
+++ b/core/request/gtcall/call.go
@@ -33,6 +33,7 @@
 	route         string
 	version       string
 	class         gtconfig.Class
+	account       string
 	idempotent    bool
 	key           string
 	isResend      bool
@@ -80,6 +81,10 @@
 // Class returns the class by which the admission gate treats the call.
 func (c Call) Class() gtconfig.Class { return c.class }
 
+// Account returns the name of the client account that the caller has authenticated
+// as, or "" if it needs none.
+func (c Call) Account() string { return c.account }
+
 // Idempotent reports whether the request is idempotent.
 func (c Call) Idempotent() bool { return c.idempotent }
 
@@ -146,6 +151,12 @@
 	return c
 }
 
+// WithAccount returns a copy with the name of the client account.
+func (c Call) WithAccount(name string) Call {
+	c.account = name
+	return c
+}
+
 // WithIdempotent returns a copy that is marked as idempotent or non-idempotent.
 func (c Call) WithIdempotent(idempotent bool) Call {
 	c.idempotent = idempotent
--- a/core/request/gtkind/kind.go
+++ b/core/request/gtkind/kind.go
@@ -30,7 +30,11 @@
 	TooLarge
 	// NoRoute means that no configured route or service matches.
 	NoRoute
-	// NoConfig means that the node has not loaded a configuration yet.
+	// Unauthenticated means that the request carries no key of a client account,
+	// although its route requires one.
+	Unauthenticated
+	// NoConfig means that the node has not loaded a configuration yet, or can't tell
+	// whether the one that it has is current.
 	NoConfig
 	// NoBackend means that no instance can take the request.
 	NoBackend
@@ -151,6 +155,7 @@
 	BadRequest:         {"badrequest", NotRun, 400, false, 0, false},
 	TooLarge:           {"toolarge", NotRun, 413, false, 0, false},
 	NoRoute:            {"noroute", NotRun, 404, false, 0, false},
+	Unauthenticated:    {"unauthenticated", NotRun, 401, false, 0, false},
 	NoConfig:           {"noconfig", NotRun, 503, false, time.Second, false},
 	NoBackend:          {"nobackend", NotRun, 503, false, time.Second, false},
 	Refused:            {"refused", NotRun, 503, true, time.Second, false},
--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -290,7 +290,7 @@
 		Now: now, Self: n.table.Self, Address: cfg.Backend.Address, MaxBufferBytes: cfg.Limit.MaxBufferBytes, Pool: n.backendPool,
 		Gate: n.gate, Keys: n.dedup, Crashes: n.crashes, Outcomes: n.outcomes,
 		HistoryKnown: n.dedupHistoryKnown, OnCrash: n.announceCrash, CheckDown: n.probeDown, MayRun: n.mayRun, ReadyAt: n.backend.readyTime, Trace: n.tracer.Start,
-		Dialect: n.Dialect, OnResult: n.logBackendCall, OnOmitted: n.countOmitted,
+		Dialect: n.Dialect, OnResult: n.logBackendCall, OnOmitted: n.countOmitted, HasAccounts: n.hasAccounts,
 	}
 	if n.Heartbeats != nil {
 		n.localBackend.WarmUpEnd = n.backend.warmUpEndTime
--- a/io/request/gtedge/edge.go
+++ b/io/request/gtedge/edge.go
@@ -29,6 +29,7 @@
 	"godwittide/core/request/gtretry"
 	"godwittide/core/request/gtroute"
 	"godwittide/core/request/gtsplit"
+	"godwittide/core/version/gtaccount"
 	"godwittide/core/version/gtcanary"
 	"godwittide/core/version/gtconfig"
 	"godwittide/core/version/gtdelta"
@@ -184,7 +185,8 @@
 }
 
 // newCall returns the call for a request of a caller. If it fails, the returned
-// call is empty, or has the ID and route of a request whose body can't be read.
+// call is empty, or has the ID and route of a request that carries no valid key of an
+// account, or whose body can't be read.
 func (e *Edge) newCall(cfg *gtconfig.Config, r *http.Request, entry *gtinflight.Entry) (gtcall.Call, error) {
 	start := e.Now()
 	hops, _ := strconv.Atoi(r.Header.Get(gthop.HeaderHops))
@@ -195,25 +197,34 @@
 	if !ok {
 		return gtcall.Call{}, gtkind.New(gtkind.NoRoute, "no route matches %s %.100s", r.Method, r.URL.Path)
 	}
+	id := e.Dialect.RequestIDOr(r, e.newID)
+	account, err := e.authenticate(cfg, route, r)
+	if err != nil {
+		return gtcall.New(id, r.Method, r.URL.RequestURI()).WithRoute("", route.Name(), route.Class()), err
+	}
+	class := route.ClassFor(account)
 	key := r.Header.Get(gthop.HeaderIdempotencyKey)
 	if len(key) > maxKeyBytes {
 		return gtcall.Call{}, gtkind.New(gtkind.BadRequest, "idempotency key is longer than %d bytes", maxKeyBytes)
 	}
-	id := e.Dialect.RequestIDOr(r, e.newID)
 	bodyTimeout := cmp.Or(route.Timeout(), gtconfig.MaxTimeout)
 	bodyDeadline := start.Add(e.Dialect.ShortenTimeout(r, bodyTimeout))
 	entry.Identify(id, route.Name(), bodyDeadline)
 	body, err := gthop.ReadBody(r, entry, e.MaxBodyBytes, bodyDeadline)
 	if err != nil {
-		return gtcall.New(id, r.Method, r.URL.RequestURI()).WithRoute("", route.Name(), route.Class()), err
+		return gtcall.New(id, r.Method, r.URL.RequestURI()).WithRoute("", route.Name(), class).WithAccount(account.Name()), err
 	}
 	header := gthop.ForwardableHeader(r.Header)
+	if cfg.Accounts().Len() > 0 {
+		e.Dialect.RemoveAccountFields(header)
+	}
 	header.Set("Host", r.Host)
 	service := route.Service(e.Split.Draw(route.Name()))
 	return gtcall.New(id, r.Method, r.URL.RequestURI()).
 		WithHeader(header).
 		WithBody(body).
-		WithRoute(service, route.Name(), route.Class()).
+		WithRoute(service, route.Name(), class).
+		WithAccount(account.Name()).
 		WithIdempotent(route.Idempotent(r.Method)).
 		WithKey(key, r.Header.Get(gthop.HeaderResend) == "1", false).
 		WithRetry(r.Header.Get(gthop.HeaderRetry) == "1").
@@ -222,6 +233,24 @@
 		WithDeadline(start.Add(e.Dialect.ShortenTimeout(r, e.timeout(cfg, route, service)))), nil
 }
 
+// authenticate returns the client account that a request is sent on behalf of. It is
+// empty if the configuration has no accounts, or if the route needs none, in which case
+// a key is ignored. No error holds the key.
+func (e *Edge) authenticate(cfg *gtconfig.Config, route gtconfig.Route, r *http.Request) (gtaccount.Account, error) {
+	if cfg.Accounts().Len() == 0 || route.IsOpen() {
+		return gtaccount.Account{}, nil
+	}
+	credential := e.Dialect.CredentialOf(r)
+	if credential == "" {
+		return gtaccount.Account{}, gtkind.New(gtkind.Unauthenticated, "request carries no key, or more than one")
+	}
+	account, ok := cfg.Accounts().Find(credential)
+	if !ok {
+		return gtaccount.Account{}, gtkind.New(gtkind.Unauthenticated, "key of the request belongs to no account")
+	}
+	return account, nil
+}
+
 // Expire deletes the state of routes that the active configuration no longer has.
 func (e *Edge) Expire() {
 	hasRoute := e.Holder.Current().Config().HasRoute
--- a/io/request/gthop/dialect.go
+++ b/io/request/gthop/dialect.go
@@ -1,6 +1,7 @@
 package gthop
 
 import (
+	"cmp"
 	"net/http"
 	"strconv"
 	"time"
@@ -26,6 +27,14 @@
 	// SetBackendHeader sets the header fields of a request to the backend server,
 	// with the given remaining time.
 	SetBackendHeader func(h http.Header, c gtcall.Call, remaining time.Duration)
+	// Credential returns the key of a client account that a request of a caller carries,
+	// or "" if it carries none.
+	Credential func(r *http.Request) string
+	// CredentialField is the header field that holds the key, and AccountField the one
+	// that holds the account's name in a request to the backend server. They are
+	// removed from callers' requests if the configuration has accounts. Empty names
+	// stand for HeaderKey and HeaderAccount.
+	CredentialField, AccountField string
 	// CheckResponse validates the status and header of a backend server's response,
 	// and returns an error with a kind for one that must not be forwarded.
 	CheckResponse func(c gtcall.Call, status int, h http.Header) error
@@ -44,6 +53,39 @@
 	return fallback()
 }
 
+// CredentialOf returns the key of a client account that a request of a caller
+// carries, or "" if it carries none or more than one.
+func (d Dialect) CredentialOf(r *http.Request) string {
+	if d.Credential != nil {
+		return d.Credential(r)
+	}
+	if values := r.Header.Values(d.credentialField()); len(values) == 1 {
+		return values[0]
+	}
+	return ""
+}
+
+func (d Dialect) credentialField() string { return cmp.Or(d.CredentialField, HeaderKey) }
+
+func (d Dialect) accountField() string { return cmp.Or(d.AccountField, HeaderAccount) }
+
+// RemoveAccountFields removes the key of a client account, and the name of an
+// account that only a node may set, from the header of a caller's request.
+func (d Dialect) RemoveAccountFields(h http.Header) {
+	h.Del(d.credentialField())
+	h.Del(d.accountField())
+}
+
+// setAccount sets the header field of a request to the backend server with the
+// account's name. It removes one that the caller has set, if accounts are in use.
+func (d Dialect) setAccount(h http.Header, c gtcall.Call, inUse bool) {
+	if c.Account() != "" {
+		h.Set(d.accountField(), c.Account())
+	} else if inUse {
+		h.Del(d.accountField())
+	}
+}
+
 // ShortenTimeout returns the shorter of timeout and the remaining time until the
 // caller's deadline, if the request states it.
 func (d Dialect) ShortenTimeout(r *http.Request, timeout time.Duration) time.Duration {
--- a/io/request/gthop/header.go
+++ b/io/request/gthop/header.go
@@ -41,6 +41,11 @@
 	// HeaderVersion holds the version of the backend server that the sender of a call
 	// picked in a move.
 	HeaderVersion = "Gt-Version"
+	// HeaderKey holds the key of the caller's client account.
+	HeaderKey = "Gt-Key"
+	// HeaderAccount holds the name of the client account, between nodes and in a
+	// request to the backend server.
+	HeaderAccount = "Gt-Account"
 	// HeaderResponse holds the metadata of a response between nodes; see
 	// encodeResponseMeta.
 	HeaderResponse = "Gt-Answer"
@@ -52,7 +57,7 @@
 )
 
 // nodeFields are the header fields that only a node may set.
-var nodeFields = []string{HeaderID, HeaderCall, HeaderVersion, HeaderResponse, HeaderKind, HeaderCertainty}
+var nodeFields = []string{HeaderID, HeaderCall, HeaderVersion, HeaderAccount, HeaderResponse, HeaderKind, HeaderCertainty}
 
 // backendFields are computed for each request to the backend server. They are
 // removed from requests between nodes.
--- a/io/request/gthop/localbackend.go
+++ b/io/request/gthop/localbackend.go
@@ -59,6 +59,9 @@
 	// before the call waits for admission and again before it is sent. Nil means that all
 	// calls may.
 	MayRun func(c gtcall.Call) error
+	// HasAccounts reports whether the active configuration has client accounts. Nil
+	// means that it has none.
+	HasAccounts func() bool
 	// ReadyAt returns when the backend server last became ready.
 	ReadyAt func() time.Time
 	// WarmUpEnd returns until when the backend server is warming up, as it reports; nil
@@ -111,7 +114,7 @@
 // runDeduplicated runs a request that carries an idempotency key, unless its
 // outcome is known.
 func (b *LocalBackend) runDeduplicated(ctx context.Context, c gtcall.Call) (gtcall.Response, error) {
-	id := c.Service() + " " + c.Key()
+	id := keyID(c)
 	claim := gtdedup.NewClaim(c.IsResend(), b.HistoryKnown(c.Service()), c.ReleasedByAll())
 	if c.LookupOnly() && !b.Keys.MayHaveRun(id) {
 		return gtcall.Response{}, gtkind.New(gtkind.KeyUnknown, "no request with this idempotency key is known to this node")
@@ -136,6 +139,17 @@
 	}
 }
 
+// keyID returns the ID under which the outcome of a request with an idempotency key is
+// kept. Requests of different accounts never share one, so that no account gets a
+// response to another's request.
+func keyID(c gtcall.Call) string {
+	id := c.Service() + " " + c.Key()
+	if c.Account() != "" {
+		id = c.Account() + "\x00" + id
+	}
+	return id
+}
+
 // runAndSettle runs a request and settles its entry, also if the request panics.
 func (b *LocalBackend) runAndSettle(ctx context.Context, c gtcall.Call, entry *gtdedup.Entry) (gtcall.Response, error) {
 	settled := false
@@ -299,6 +313,7 @@
 		return nil, err
 	}
 	b.Dialect.setBackendHeader(req.Header, c, max(0, c.Deadline().Sub(b.Now())))
+	b.Dialect.setAccount(req.Header, c, b.HasAccounts != nil && b.HasAccounts())
 	return req, nil
 }
 
--- a/io/request/gthop/metadata.go
+++ b/io/request/gthop/metadata.go
@@ -42,7 +42,8 @@
 // id/instance/remaining/flags/class/service/route/hops/crashes. Each part is
 // percent-encoded, and the remaining time is in milliseconds. The ID is empty if
 // the caller chose it, as the caller's own header field carries it already. The
-// version goes into HeaderVersion, which nodes without it ignore. The
+// version goes into HeaderVersion and the account's name into HeaderAccount, which
+// nodes without them ignore. The
 // fields that are set for each request to the backend server are removed.
 func (d Dialect) encodeCall(r *http.Request, c gtcall.Call, instance string, now time.Time) {
 	for _, f := range backendFields {
@@ -69,6 +70,9 @@
 	if c.Version() != "" {
 		r.Header.Set(HeaderVersion, url.PathEscape(c.Version()))
 	}
+	if c.Account() != "" {
+		r.Header.Set(HeaderAccount, url.PathEscape(c.Account()))
+	}
 }
 
 func noID() string { return "" }
@@ -124,6 +128,10 @@
 	if err != nil {
 		return c, gtkind.Wrap(err, gtkind.BadRequest, "unescape header %s of a request from a peer", HeaderVersion)
 	}
+	account, err := url.PathUnescape(r.Header.Get(HeaderAccount))
+	if err != nil {
+		return c, gtkind.Wrap(err, gtkind.BadRequest, "unescape header %s of a request from a peer", HeaderAccount)
+	}
 	has := func(flag string) bool { return strings.Contains(meta[metaFlags], flag) }
 	if has(flagLookupOnly) {
 		c = c.WithLookupOnly()
@@ -131,6 +139,7 @@
 	return c.WithBody(body).
 		WithRoute(meta[metaService], meta[metaRoute], gtconfig.ParseClass(meta[metaClass])).
 		WithVersion(version).
+		WithAccount(account).
 		WithIdempotent(!has(flagNonIdempotent)).
 		WithKey(r.Header.Get(HeaderIdempotencyKey), has(flagResend), has(flagReleasedByAll)).
 		WithRetry(has(flagRetry)).
--- a/io/request/gthop/metadata_test.go
+++ b/io/request/gthop/metadata_test.go
@@ -29,6 +29,7 @@
 		flag := rapid.Bool()
 		c := gtcall.New(text.Draw(t, "id"), "POST", "/x?y=1").
 			WithRoute(text.Draw(t, "service"), text.Draw(t, "route"), rapid.SampledFrom([]gtconfig.Class{gtconfig.Fast, gtconfig.Normal, gtconfig.Normal + 3}).Draw(t, "class")).
+			WithAccount(rapid.SampledFrom([]string{"", "pulo780", "a b/%ö"}).Draw(t, "account")).
 			WithVersion(rapid.SampledFrom([]string{"", "1", "v 2/%"}).Draw(t, "version")).
 			WithIdempotent(flag.Draw(t, "idempotent")).WithKey("k", flag.Draw(t, "resend"), flag.Draw(t, "released by all")).
 			WithRetry(flag.Draw(t, "retry")).WithHops(rapid.IntRange(0, 20).Draw(t, "hops")).WithCrashes(rapid.IntRange(0, 2).Draw(t, "crashes")).
