gtduties, gtplatform: usage of client accounts is counted and reported

Operators saw: the platform's duty address got no calls. Cause: nothing counted requests by account, and no node held the duty. Change: the node beside a backend server counts the requests that it sends there (gthop.LocalBackend.OnBegin) and sends new counts to the first two of all nodes by rank, and to the holder, over overlay or direct links that stay open (message usage). One of the first three takes the key godwittide/duty/usage under a lease; its revision is the token. The holder writes the counts of each window to the store before the first call, on condition of its token and of the note of the last settled window, so that a write that is executed late has no effect. A node accepts 512 direct links in place of 64, as each node keeps one to each receiver.

--- a/core/process/gtrank/rank.go
+++ b/core/process/gtrank/rank.go
@@ -59,3 +59,32 @@
 	}
 	return out
 }
+
+// First returns the first n members that are alive, by their rank for the task. It
+// doesn't order the others.
+func First(task string, n int, members []gtmember.Record) []gtmember.Record {
+	type ranked struct {
+		member gtmember.Record
+		score  uint64
+	}
+	order := func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.member.Instance(), b.member.Instance()))
+	}
+	first := make([]ranked, 0, n+1)
+	for _, r := range members {
+		if !r.Alive() {
+			continue
+		}
+		v := ranked{r, gtshard.Hash(task, r.Instance())}
+		i, _ := slices.BinarySearchFunc(first, v, order)
+		if i < n {
+			first = slices.Insert(first, i, v)
+			first = first[:min(n, len(first))]
+		}
+	}
+	out := make([]gtmember.Record, len(first))
+	for i, v := range first {
+		out[i] = v.member
+	}
+	return out
+}
--- a/core/process/gtusage/sums.go
+++ b/core/process/gtusage/sums.go
@@ -215,17 +215,18 @@
 	return before != nil && len(before.cells) > 0
 }
 
-// HasCountsSince reports whether a process that started at or before a time has counts
-// in the window.
-func (s *Sums) HasCountsSince(window, start int64) bool {
-	found := false
+// AllStartedBy reports whether there are counts in a window, and all processes that have
+// some started by a time.
+func (s *Sums) AllStartedBy(window, start int64) bool {
+	found, all := false, true
 	s.sources.Each(func(m map[string]*source) {
 		for _, src := range m {
-			w := src.windows[window]
-			found = found || src.start <= start && w != nil && len(w.cells) > 0
+			if w := src.windows[window]; w != nil && len(w.cells) > 0 {
+				found, all = true, all && src.start <= start
+			}
 		}
 	})
-	return found
+	return found && all
 }
 
 // Oldest returns the first window with counts, and whether there is one.
--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -43,6 +43,7 @@
 	"godwittide/core/version/gtmove"
 	"godwittide/io/connection/gtpool"
 	"godwittide/io/connection/gttls"
+	"godwittide/io/process/gtduties"
 	"godwittide/io/process/gtlog"
 	"godwittide/io/process/gtmetric"
 	"godwittide/io/process/gtoverlay"
@@ -95,6 +96,15 @@
 	IsMismatched func(req *http.Request, resp *http.Response) bool
 	// Timer is the timer service, which Run also runs; nil means a new one.
 	Timer *gttimer.Service
+	// Wall returns the time of day, by which requests of accounts are counted; nil means
+	// time.Now.
+	Wall func() time.Time
+	// Uptime returns the reading of a clock that isn't set and counts the suspension of
+	// the machine; nil means the time since the machine was started.
+	Uptime func() time.Duration
+	// ReportUsage sends the report of a window to the duty address; nil means the own
+	// interface.
+	ReportUsage func(ctx context.Context, r gtduties.Report) error
 	// Heartbeats monitors the heartbeats of the backend server; nil means that the
 	// node probes it by connecting.
 	Heartbeats *gtheartbeat.Monitor
@@ -128,6 +138,8 @@
 	hopHandler   *gthop.Handler
 	edge         *gtedge.Edge
 
+	duties         *gtduties.Duties // nil without a duty address
+	syncedAt       gttimer.Moment   // when knowsFleet first found that the overlay has synced
 	judges         judges
 	reporter       reporter
 	omissions      omissions
@@ -238,6 +250,7 @@
 	n.buildConfigStore()
 	n.buildRequestPath()
 	n.buildOverlay()
+	n.buildDuties()
 	return nil
 }
 
@@ -331,6 +344,9 @@
 	n.wg.Go(func() { n.hopHandler.Run(ctx) })
 	n.wg.Go(func() { n.watchBackend(ctx) })
 	n.wg.Go(func() { n.driveMoves(ctx) })
+	if n.duties != nil {
+		n.wg.Go(func() { n.duties.Run(ctx) })
+	}
 	n.wg.Go(func() { n.expirePeriodically(ctx) })
 	if n.configStore != nil || n.WatchConfig != nil {
 		n.wg.Go(func() { n.watchStore(ctx) })
--- a/io/process/gtnode/serve.go
+++ b/io/process/gtnode/serve.go
@@ -34,8 +34,9 @@
 	// idleCheckPeriod is the period at which idle connections with unread bytes are
 	// checked again during shutdown.
 	idleCheckPeriod = 2 * time.Millisecond
-	// maxPeerConns is the maximum number of inbound control connections.
-	maxPeerConns = 256
+	// maxPeerConns is the maximum number of inbound control connections: overlay and
+	// direct links, and connections that no link has come of yet.
+	maxPeerConns = 640
 )
 
 // listeners are the open listeners of a node.
--- a/io/process/gtnode/shutdown.go
+++ b/io/process/gtnode/shutdown.go
@@ -62,6 +62,7 @@
 	}
 	n.logDrained(begun, n.requests.Outcomes().Since(before), left)
 	n.servers.close()
+	n.flushUsage(ctx)
 	n.setState(gtmember.Gone)
 	_ = n.timer.Sleep(ctx, goneAnnounceTime)
 	if err := n.tracer.Close(ctx); err != nil {
--- a/io/process/gtoverlay/facts.go
+++ b/io/process/gtoverlay/facts.go
@@ -67,6 +67,8 @@
 		return VersionID{Version: snapshot.Version(), Checksum: snapshot.Checksum()}, nil
 	case "report":
 		return nil, o.serveReport(pl, params)
+	case "usage":
+		return o.serveUsage(pl, params)
 	default:
 		return nil, errorx.IllegalFormat.New("unknown method %.40q", method)
 	}
@@ -112,6 +114,18 @@
 	return nil
 }
 
+func (o *Overlay) serveUsage(pl *peerLink, params json.RawMessage) (any, error) {
+	var m gtwire.Usage
+	if err := decode(params, &m); err != nil {
+		return nil, err
+	}
+	if o.OnUsage == nil || pl.instance == "" {
+		return nil, errorx.RejectedOperation.New("this node collects no counts of accounts")
+	}
+	pl.lastUsed.Set(o.Timer.Time())
+	return o.OnUsage(pl.instance, m)
+}
+
 // mergeFacts merges facts and propagates those that were new to all peers except
 // their sender. If a higher version is named, it is fetched from the sender.
 func (o *Overlay) mergeFacts(f Facts, from *peerLink) error {
--- a/io/process/gtoverlay/fetch.go
+++ b/io/process/gtoverlay/fetch.go
@@ -142,6 +142,19 @@
 	return nil
 }
 
+// SendUsage sends counts of accounts to an instance, or asks it for what it knows of them,
+// over the overlay link if there is one and otherwise over a direct link, which stays
+// open.
+func (o *Overlay) SendUsage(ctx context.Context, to gtmember.Record, m gtwire.Usage) (gtwire.UsageResponse, error) {
+	var response gtwire.UsageResponse
+	pl, err := o.linkTo(ctx, to)
+	if err != nil {
+		return response, err
+	}
+	err = pl.link.Call(ctx, "usage", m, &response)
+	return response, err
+}
+
 // ActiveVersionOf asks an instance for the number of its active version. It
 // returns -1 if the instance doesn't respond.
 func (o *Overlay) ActiveVersionOf(ctx context.Context, r gtmember.Record) int64 {
--- a/io/process/gtoverlay/overlay.go
+++ b/io/process/gtoverlay/overlay.go
@@ -40,6 +40,7 @@
 	"godwittide/core/version/gtfetch"
 	"godwittide/core/version/gtmove"
 	"godwittide/io/connection/gtpeer"
+	"godwittide/io/connection/gtwire"
 )
 
 const (
@@ -54,8 +55,9 @@
 	// linkedSeedPeriod is the same while the node has overlay links: it finds a
 	// part of the cluster that was lost in a network partition.
 	linkedSeedPeriod = 10 * time.Second
-	// maxInboundDirect is the maximum number of inbound direct links.
-	maxInboundDirect = 64
+	// maxInboundDirect is the maximum number of inbound direct links. Each node keeps one
+	// to each node that collects the counts of accounts.
+	maxInboundDirect = 512
 	// directIdleTimeout is how long an unused direct link is kept.
 	directIdleTimeout = 30 * time.Second
 	// batchDelay is the mean time for which membership records are collected into
@@ -103,6 +105,9 @@
 	OnHalt func(h gtmove.Halt, peer string)
 	// OnReport is called with each report that was sent to this node.
 	OnReport func(r gtcanary.Report)
+	// OnUsage is called with each message about the counts of accounts from an instance,
+	// and returns the response; nil means that they are refused.
+	OnUsage func(instance string, m gtwire.Usage) (gtwire.UsageResponse, error)
 
 	planner       gtlink.Planner
 	links         gtshard.Map[*peerLink]
--- a/io/process/gtsettings/settings.go
+++ b/io/process/gtsettings/settings.go
@@ -38,6 +38,7 @@
 	Advertise Advertise `toml:"tell"`
 	Backend   Backend   `toml:"backend"`
 	Store     Store     `toml:"store"`
+	Duty      Duty      `toml:"duty"`
 	TLS       TLS       `toml:"tls"`
 	Limit     Limits    `toml:"limit"`
 	Log       Log       `toml:"log"`
@@ -102,6 +103,22 @@
 	Prefix   string `toml:"prefix"`
 }
 
+// Duty describes where the use of client accounts is reported, and when.
+type Duty struct {
+	// Address is the address of the calls; empty means that there are none.
+	Address string `toml:"address"`
+	// Rate is the number of calls a second that the address accepts from all nodes.
+	Rate float64 `toml:"rate"`
+	// Fenced tells that the address refuses calls with a lower token than an earlier one.
+	Fenced bool `toml:"fenced"`
+	// Lease is the lease time of the holder.
+	Lease Duration `toml:"lease"`
+	// Window is the length of a window, and Late the time after its end at which its
+	// report is due.
+	Window Duration `toml:"window"`
+	Late   Duration `toml:"late"`
+}
+
 // TLS holds the paths of the PEM files for mutual TLS between nodes.
 type TLS struct {
 	Cert string `toml:"cert"`
@@ -166,6 +183,7 @@
 		Listen:  Listen{Edge: "127.0.0.1:7400", Hop: "127.0.0.1:7401", Peer: "127.0.0.1:7402", Admin: "127.0.0.1:7403"},
 		Backend: Backend{Slots: 10, MaxConnections: 100},
 		Store:   Store{Prefix: "godwittide/"},
+		Duty:    Duty{Rate: 50, Lease: Duration(3 * time.Second), Window: Duration(5 * time.Second), Late: Duration(10 * time.Second)},
 		Limit: Limits{
 			MaxBodyBytes: 1 << 20, MaxHeadBytes: 32 << 10, MaxBufferBytes: 64 << 10, MaxHops: 16, MaxCallerConnections: 4096,
 			ReadTimeout: Duration(10 * time.Second), DrainTimeout: Duration(20 * time.Second), RefusePeriod: Duration(1500 * time.Millisecond),
@@ -269,6 +287,9 @@
 	if _, err := netip.ParseAddrPort(s.Backend.Address); err != nil {
 		return fmt.Errorf("backend.address: expected an IP and a port, found %q", s.Backend.Address)
 	}
+	if _, err := netip.ParseAddrPort(s.Duty.Address); s.Duty.Address != "" && err != nil {
+		return fmt.Errorf("duty.address: expected an IP and a port, found %q", s.Duty.Address)
+	}
 	for _, p := range s.Node.Peers {
 		if _, err := netip.ParseAddrPort(p); err != nil {
 			return fmt.Errorf("node.peers: expected IPs and ports, found %q", p)
@@ -298,6 +319,9 @@
 	if s.Limit.ReadTimeout <= 0 || s.Limit.DrainTimeout <= 0 || s.Limit.RefusePeriod <= 0 {
 		return errors.New("limit.slow, limit.drain, limit.quiet: must be above 0")
 	}
+	if err := s.Duty.check(); err != nil {
+		return err
+	}
 	if s.Backend.MaxReuseIdle < 0 || s.Limit.LingerPeriod < 0 {
 		return errors.New("backend.idle, limit.linger: must not be below 0")
 	}
@@ -317,5 +341,21 @@
 	return nil
 }
 
+// check returns an error that describes the first invalid setting.
+func (d Duty) check() error {
+	switch {
+	case d.Rate < 1 || d.Rate > 10000:
+		return fmt.Errorf("duty.rate: must be from 1 to 10000, found %g", d.Rate)
+	case time.Duration(d.Lease) < time.Second || time.Duration(d.Lease) > time.Minute:
+		return errors.New("duty.lease: must be from 1s to 1m")
+	case time.Duration(d.Window) < time.Second || time.Duration(d.Window) > time.Hour:
+		return errors.New("duty.window: must be from 1s to 1h")
+	case time.Duration(d.Late) < 2*time.Second || time.Duration(d.Late) > time.Hour:
+		return errors.New("duty.late: must be from 2s to 1h")
+	default:
+		return nil
+	}
+}
+
 // UsesTLS reports whether connections between nodes use TLS.
 func (s Settings) UsesTLS() bool { return s.TLS.Cert != "" || s.TLS.Key != "" || s.TLS.CA != "" }
--- a/io/request/gthop/localbackend.go
+++ b/io/request/gthop/localbackend.go
@@ -70,6 +70,9 @@
 	// OnResult is called after each call with its status, error and duration. It
 	// may be nil.
 	OnResult func(c gtcall.Call, status int, err error, d time.Duration)
+	// OnBegin is called right before a call is sent to the backend server. The function
+	// that it returns is called if the call turns out not to have run. It may be nil.
+	OnBegin func(c gtcall.Call) (notRun func())
 	// Dialect adapts requests and responses to the backend server's protocol.
 	Dialect Dialect
 	// Trace starts a span and returns the function that ends it.
@@ -259,10 +262,17 @@
 		end(err)
 		cancel()
 	}
+	notRun := func() {}
+	if b.OnBegin != nil {
+		notRun = b.OnBegin(c)
+	}
 	httpResp, err := b.Pool.Do(ctx, b.Address, c.Class().PoolName(), req, c.Idempotent())
 	if err == nil {
 		status = httpResp.StatusCode
 		if err := b.Dialect.checkResponse(c, status, httpResp.Header); err != nil {
+			if isNotRun(err) {
+				notRun()
+			}
 			gtpool.Discard(httpResp)
 			finish(err)
 			return gtcall.Response{}, err
@@ -276,10 +286,16 @@
 		return gtcall.Response{}, b.classifyFailure(ctx, c, err)
 	}
 	err = b.classifyFailure(ctx, c, err)
+	if isNotRun(err) {
+		notRun()
+	}
 	finish(err)
 	return gtcall.Response{}, err
 }
 
+// isNotRun reports whether an error says that the call has not run.
+func isNotRun(err error) bool { return gtkind.Of(err).Row().Certainty() == gtkind.NotRun }
+
 // forgetCrashes deletes the record of crashes with a request that has now
 // completed without one.
 func (b *LocalBackend) forgetCrashes(c gtcall.Call) {
