--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -26,6 +26,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"godwittide/core/process/gtaccountstats"
 	"godwittide/core/process/gtdrain"
 	"godwittide/core/process/gtheartbeat"
 	"godwittide/core/process/gtmember"
@@ -43,6 +44,7 @@
 	"godwittide/core/version/gtmove"
 	"godwittide/io/connection/gtpool"
 	"godwittide/io/connection/gttls"
+	"godwittide/io/process/gtduties"
 	"godwittide/io/process/gtlog"
 	"godwittide/io/process/gtmetric"
 	"godwittide/io/process/gtoverlay"
@@ -96,6 +98,15 @@
 	IsMismatched func(req *http.Request, resp *http.Response) bool
 	// Timer is the timer service, which Run also runs; nil means a new one.
 	Timer *gttimer.Service
+	// Wall returns the time of day, by which requests of accounts are counted; nil means
+	// time.Now.
+	Wall func() time.Time
+	// Uptime returns the reading of a clock that isn't set and counts the suspension of
+	// the machine; nil means the time since the machine was started.
+	Uptime func() time.Duration
+	// ReportUsage sends the report of a window to the duty address; nil means the own
+	// interface.
+	ReportUsage func(ctx context.Context, r gtduties.Report) error
 	// Heartbeats monitors the heartbeats of the backend server; nil means that the
 	// node probes it by connecting.
 	Heartbeats *gtheartbeat.Monitor
@@ -130,9 +141,12 @@
 	edge         *gtedge.Edge
 
 	standIn        gtstandin.StandIn
+	duties         *gtduties.Duties // nil without a duty address
+	syncedAt       gttimer.Moment   // when knowsFleet first found that the overlay has synced
 	judges         judges
 	reporter       reporter
 	omissions      omissions
+	accounts       gtaccountstats.Stats
 	servers        servers
 	backend        backendState
 	departures     departures
@@ -239,6 +253,7 @@
 	n.buildConfigStore()
 	n.buildRequestPath()
 	n.buildOverlay()
+	n.buildDuties()
 	return nil
 }
 
@@ -294,7 +309,7 @@
 		Now: now, Self: n.table.Self, Address: cfg.Backend.Address, MaxBufferBytes: cfg.Limit.MaxBufferBytes, Pool: n.backendPool,
 		Gate: n.gate, Keys: n.dedup, Crashes: n.crashes, Outcomes: n.outcomes,
 		HistoryKnown: n.dedupHistoryKnown, OnCrash: n.announceCrash, CheckDown: n.probeDown, MayRun: n.mayRun, ReadyAt: n.backend.readyTime, Trace: n.tracer.Start,
-		Dialect: n.Dialect, OnResult: n.logBackendCall, OnOmitted: n.countOmitted,
+		Dialect: n.Dialect, OnResult: n.logBackendCall, OnOmitted: n.countOmitted, HasAccounts: n.hasAccounts,
 	}
 	if n.Heartbeats != nil {
 		n.localBackend.WarmUpEnd = n.backend.warmUpEndTime
@@ -333,6 +348,9 @@
 	n.wg.Go(func() { n.hopHandler.Run(ctx) })
 	n.wg.Go(func() { n.watchBackend(ctx) })
 	n.wg.Go(func() { n.driveMoves(ctx) })
+	if n.duties != nil {
+		n.wg.Go(func() { n.duties.Run(ctx) })
+	}
 	n.wg.Go(func() { n.expirePeriodically(ctx) })
 	if n.configStore != nil || n.WatchConfig != nil {
 		n.wg.Go(func() { n.watchStore(ctx) })
@@ -357,6 +375,7 @@
 			n.requestLog.Flush()
 			n.moves.Prune(n.holder.Current().Config(), gtmember.GoneRetention)
 			n.edge.Expire()
+			n.pruneAccounts()
 			n.updateGauges()
 		}
 	}
--- a/io/request/gthop/localbackend.go
+++ b/io/request/gthop/localbackend.go
@@ -59,6 +59,9 @@
 	// before the call waits for admission and again before it is sent. Nil means that all
 	// calls may.
 	MayRun func(c gtcall.Call) error
+	// HasAccounts reports whether the active configuration has client accounts. Nil
+	// means that it has none.
+	HasAccounts func() bool
 	// ReadyAt returns when the backend server last became ready.
 	ReadyAt func() time.Time
 	// WarmUpEnd returns until when the backend server is warming up, as it reports; nil
@@ -67,6 +70,9 @@
 	// OnResult is called after each call with its status, error and duration. It
 	// may be nil.
 	OnResult func(c gtcall.Call, status int, err error, d time.Duration)
+	// OnBegin is called right before a call is sent to the backend server. The function
+	// that it returns is called if the call turns out not to have run. It may be nil.
+	OnBegin func(c gtcall.Call) (notRun func())
 	// Dialect adapts requests and responses to the backend server's protocol.
 	Dialect Dialect
 	// Trace starts a span and returns the function that ends it.
@@ -111,7 +117,7 @@
 // runDeduplicated runs a request that carries an idempotency key, unless its
 // outcome is known.
 func (b *LocalBackend) runDeduplicated(ctx context.Context, c gtcall.Call) (gtcall.Response, error) {
-	id := c.Service() + " " + c.Key()
+	id := keyID(c)
 	claim := gtdedup.NewClaim(c.IsResend(), b.HistoryKnown(c.Service()), c.ReleasedByAll())
 	if c.LookupOnly() && !b.Keys.MayHaveRun(id) {
 		return gtcall.Response{}, gtkind.New(gtkind.KeyUnknown, "no request with this idempotency key is known to this node")
@@ -136,6 +142,17 @@
 	}
 }
 
+// keyID returns the ID under which the outcome of a request with an idempotency key is
+// kept. Requests of different accounts never share one, so that no account gets a
+// response to another's request.
+func keyID(c gtcall.Call) string {
+	id := c.Service() + " " + c.Key()
+	if c.Account() != "" {
+		id = c.Account() + "\x00" + id
+	}
+	return id
+}
+
 // runAndSettle runs a request and settles its entry, also if the request panics.
 func (b *LocalBackend) runAndSettle(ctx context.Context, c gtcall.Call, entry *gtdedup.Entry) (gtcall.Response, error) {
 	settled := false
@@ -245,10 +262,17 @@
 		end(err)
 		cancel()
 	}
+	notRun := func() {}
+	if b.OnBegin != nil {
+		notRun = b.OnBegin(c)
+	}
 	httpResp, err := b.Pool.Do(ctx, b.Address, c.Class().PoolName(), req, c.Idempotent())
 	if err == nil {
 		status = httpResp.StatusCode
 		if err := b.Dialect.checkResponse(c, status, httpResp.Header); err != nil {
+			if isNotRun(err) {
+				notRun()
+			}
 			gtpool.Discard(httpResp)
 			finish(err)
 			return gtcall.Response{}, err
@@ -262,10 +286,16 @@
 		return gtcall.Response{}, b.classifyFailure(ctx, c, err)
 	}
 	err = b.classifyFailure(ctx, c, err)
+	if isNotRun(err) {
+		notRun()
+	}
 	finish(err)
 	return gtcall.Response{}, err
 }
 
+// isNotRun reports whether an error says that the call has not run.
+func isNotRun(err error) bool { return gtkind.Of(err).Row().Certainty() == gtkind.NotRun }
+
 // forgetCrashes deletes the record of crashes with a request that has now
 // completed without one.
 func (b *LocalBackend) forgetCrashes(c gtcall.Call) {
@@ -299,6 +329,7 @@
 		return nil, err
 	}
 	b.Dialect.setBackendHeader(req.Header, c, max(0, c.Deadline().Sub(b.Now())))
+	b.Dialect.setAccount(req.Header, c, b.HasAccounts != nil && b.HasAccounts())
 	return req, nil
 }
 
