gtsequence, gtpipeline: requests that a caller sends ahead run beside each other

Cause: net/http's server reads the next request only after it has written the last response, so that each request waits for all that were sent before it.

Change: a connection on which bytes of a further request arrive while an idempotent one is served is taken over from net/http. Requests that were read ahead run concurrently if they are idempotent, up to limit.pipeline (16), and the responses are written in the order of the requests. core/connection/ gtsequence decides what may start, what is kept, and which response closes the connection. Connections that don't pipeline stay with net/http.

--- /dev/null
+++ b/io/connection/gtpipeline/request.go
@@ -0,0 +1,279 @@
+package gtpipeline
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"net/http/httputil"
+	"strings"
+	"sync/atomic"
+
+	"github.com/joomcode/errorx"
+	"golang.org/x/net/http/httpguts"
+)
+
+const (
+	// headSlack is what net/http allows above the maximum size of a head.
+	headSlack = 4096
+	// maxLeadingBytes is how many line ends net/http tolerates before a request that follows
+	// a POST.
+	maxLeadingBytes = 4
+	// maxDiscardBytes is the maximum size of the rest of a body that is read and discarded
+	// to keep the connection open, as in net/http.
+	maxDiscardBytes = 256 << 10
+	// maxTrailerBytes is the maximum size of the trailer of a chunked body.
+	maxTrailerBytes = 4096
+	// alone is the size of a request that starts only once all ahead of it are answered.
+	alone = math.MaxInt64
+)
+
+// errTrailer is the error of a body whose trailer is malformed or too long.
+var errTrailer = errorx.IllegalFormat.New("malformed trailer of a chunked body")
+
+// refusal is the response to a request that can't be served, after which the connection
+// closes. It is what net/http answers.
+type refusal struct {
+	status int
+	detail string
+}
+
+// Error returns the status line and the detail.
+func (r *refusal) Error() string {
+	text := fmt.Sprintf("%d %s", r.status, http.StatusText(r.status))
+	if r.detail != "" {
+		text += ": " + r.detail
+	}
+	return text
+}
+
+// response returns the bytes of the response.
+func (r *refusal) response() string {
+	line, body := r.Error(), r.Error()
+	if r.status == http.StatusNotImplemented {
+		line, body = fmt.Sprintf("%d %s", r.status, http.StatusText(r.status)), r.detail
+	}
+	return "HTTP/1.1 " + line + "\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n" + body
+}
+
+func badRequest(detail string) *refusal {
+	return &refusal{status: http.StatusBadRequest, detail: detail}
+}
+
+// readHead reads the head of a request, up to and including the empty line that ends it. An
+// empty first line is returned as a head of its own.
+func readHead(br *bufio.Reader, limit int) ([]byte, error) {
+	var head []byte
+	lineStart := 0
+	for {
+		part, err := br.ReadSlice('\n')
+		head = append(head, part...)
+		switch {
+		case len(head) > limit:
+			return nil, &refusal{status: http.StatusRequestHeaderFieldsTooLarge}
+		case err == bufio.ErrBufferFull:
+			continue
+		case err != nil:
+			return nil, err
+		}
+		if line := head[lineStart:]; len(line) == 1 || len(line) == 2 && line[0] == '\r' {
+			return head, nil
+		}
+		lineStart = len(head)
+	}
+}
+
+// parseHead parses a head and makes the checks that net/http's server makes. The body of the
+// request is empty.
+func parseHead(head []byte) (*http.Request, error) {
+	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
+	switch {
+	case err != nil && isTransferEncoding(err):
+		return nil, &refusal{status: http.StatusNotImplemented, detail: "Unsupported transfer encoding"}
+	case err != nil:
+		return nil, badRequest("")
+	case r.ProtoMajor != 1:
+		return nil, &refusal{status: http.StatusHTTPVersionNotSupported, detail: "unsupported protocol version"}
+	}
+	r.Body = http.NoBody
+	host, hasHost := findHost(head)
+	if !hasHost && r.ProtoAtLeast(1, 1) && r.Method != http.MethodConnect {
+		return nil, badRequest("missing required Host header")
+	}
+	if hasHost && !httpguts.ValidHostHeader(host) {
+		return nil, badRequest("malformed Host header")
+	}
+	for name, values := range r.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return nil, badRequest("invalid header name")
+		}
+		for _, v := range values {
+			if !httpguts.ValidHeaderFieldValue(v) {
+				return nil, badRequest("invalid header value")
+			}
+		}
+	}
+	return r, nil
+}
+
+// isTransferEncoding reports whether http.ReadRequest failed because of the transfer encoding,
+// for which it has no exported error.
+func isTransferEncoding(err error) bool {
+	return strings.HasPrefix(err.Error(), "unsupported transfer encoding") || strings.HasPrefix(err.Error(), "too many transfer encodings")
+}
+
+// findHost returns the field Host of a head, which http.ReadRequest removes.
+func findHost(head []byte) (string, bool) {
+	for line := range bytes.Lines(head) {
+		if name, value, ok := bytes.Cut(line, []byte(":")); ok && strings.EqualFold(string(name), "Host") {
+			return string(bytes.Trim(value, " \t\r\n")), true
+		}
+	}
+	return "", false
+}
+
+// requestSize returns what a request takes ahead of its turn. One whose body has an unknown
+// size, or waits for an interim response, starts alone: interim responses go in order, too.
+func requestSize(r *http.Request, headBytes int) int64 {
+	if r.ContentLength < 0 || r.Header.Get("Expect") != "" && r.ContentLength > 0 {
+		return alone
+	}
+	return r.ContentLength + min(int64(headBytes), alone-r.ContentLength)
+}
+
+// body is the body of a request, which its handler reads from the connection. Only the
+// handler's goroutine uses it, until done is closed.
+type body struct {
+	br       *bufio.Reader
+	src      io.Reader // of the data
+	left     int64     // bytes, or -1 if the body is chunked
+	interim  func()    // writes the interim response that the caller waits for, or nil
+	err      error     // that ended it: io.EOF once it is complete
+	closed   bool
+	complete atomic.Bool
+	done     chan struct{}
+}
+
+// newBody returns the body of a request, or nil if it has none.
+func newBody(br *bufio.Reader, r *http.Request) *body {
+	b := &body{br: br, left: r.ContentLength, done: make(chan struct{})}
+	switch {
+	case r.ContentLength == 0:
+		return nil
+	case r.ContentLength < 0:
+		b.src = httputil.NewChunkedReader(br)
+	default:
+		b.src = io.LimitReader(br, r.ContentLength)
+	}
+	return b
+}
+
+// Read reads from the body.
+func (b *body) Read(p []byte) (int, error) {
+	switch {
+	case b.closed:
+		return 0, http.ErrBodyReadAfterClose
+	case b.err != nil:
+		return 0, b.err
+	case b.interim != nil:
+		b.interim()
+		b.interim = nil
+	}
+	return b.read(p)
+}
+
+func (b *body) read(p []byte) (int, error) {
+	n, err := b.src.Read(p)
+	if b.left > 0 {
+		b.left -= int64(n)
+		if err == nil && b.left == 0 {
+			err = io.EOF
+		}
+	}
+	switch {
+	case err == nil:
+		return n, nil
+	case err == io.EOF && b.left > 0:
+		err = io.ErrUnexpectedEOF
+	case err == io.EOF && b.left < 0:
+		err = b.readTrailer()
+	}
+	b.end(err)
+	return n, err
+}
+
+// readTrailer reads the lines behind the last chunk, and returns io.EOF at their end.
+func (b *body) readTrailer() error {
+	for size := 0; size <= maxTrailerBytes; {
+		line, err := b.br.ReadSlice('\n')
+		size += len(line)
+		switch {
+		case err == io.EOF:
+			return io.ErrUnexpectedEOF
+		case err != nil:
+			return err
+		case len(line) == 1 || len(line) == 2 && line[0] == '\r':
+			return io.EOF
+		case bytes.IndexByte(line, ':') <= 0:
+			return errTrailer
+		}
+	}
+	return errTrailer
+}
+
+// Close stops the handler's reading.
+func (b *body) Close() error {
+	b.closed = true
+	return nil
+}
+
+// discard reads the rest of the body after its handler has returned, if that is small.
+func (b *body) discard() {
+	if b.err != nil {
+		return
+	}
+	if b.interim != nil || b.left >= maxDiscardBytes {
+		b.end(http.ErrBodyReadAfterClose)
+		return
+	}
+	buf := make([]byte, 4096)
+	for total := 0; b.err == nil; {
+		n, _ := b.read(buf)
+		if total += n; total > maxDiscardBytes && b.err == nil {
+			b.end(http.ErrBodyReadAfterClose)
+		}
+	}
+}
+
+func (b *body) end(err error) {
+	if b.err != nil {
+		return
+	}
+	b.err = err
+	b.complete.Store(err == io.EOF)
+	close(b.done)
+}
+
+// bytesBody is a body that has been read already.
+type bytesBody struct {
+	io.Reader
+}
+
+// newBytesBody returns a body of the given bytes, or one that fails with err.
+func newBytesBody(b []byte, err error) bytesBody {
+	if err != nil {
+		return bytesBody{io.MultiReader(bytes.NewReader(b), failingReader{err})}
+	}
+	return bytesBody{bytes.NewReader(b)}
+}
+
+// Close does nothing.
+func (bytesBody) Close() error { return nil }
+
+// failingReader is a reader that fails with an error.
+type failingReader struct{ err error }
+
+// Read returns the error.
+func (f failingReader) Read([]byte) (int, error) { return 0, f.err }
--- a/io/process/gtnode/idle.go
+++ b/io/process/gtnode/idle.go
@@ -36,7 +36,8 @@
 
 	mu           sync.Mutex
 	conns        map[net.Conn]connState
-	closing      bool // connections that become idle are closed
+	takenOver    map[net.Conn]struct{} // from the HTTP server, which doesn't know them any more
+	closing      bool                  // connections that become idle are closed
 	closingSince time.Time
 }
 
@@ -59,12 +60,14 @@
 	if i.conns == nil {
 		i.conns = map[net.Conn]connState{}
 	}
-	if lc, ok := c.(*limitConn); ok && state == http.StateIdle {
-		lc.resetReceived()
+	if state == http.StateIdle {
+		resetReceived(c)
 	}
 	switch {
-	case state == http.StateClosed || state == http.StateHijacked:
+	case state == http.StateClosed:
 		delete(i.conns, c)
+	case state == http.StateHijacked:
+		i.takeOverLocked(c)
 	case i.conns[c] == connNotified:
 	case state == http.StateIdle && i.closing && i.notice != nil:
 		i.closeWithNotice(c)
@@ -79,6 +82,53 @@
 	}
 }
 
+// takeOverLocked tracks a connection that is taken over from the HTTP server while it serves a
+// request. The caller holds the lock.
+func (i *idleConns) takeOverLocked(c net.Conn) {
+	if i.takenOver == nil {
+		i.takenOver = map[net.Conn]struct{}{}
+	}
+	i.takenOver[c] = struct{}{}
+	if i.conns[c] != connNotified {
+		i.conns[c] = connActive
+	}
+}
+
+// trackTakenOver records the state of a connection that was taken over from the HTTP server.
+// As the server does not wait for such a connection, it is also tracked while it is in use.
+func (i *idleConns) trackTakenOver(c net.Conn, state http.ConnState) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	switch {
+	case state == http.StateClosed:
+		delete(i.conns, c)
+		delete(i.takenOver, c)
+	case i.conns[c] == connNotified:
+	case state == http.StateIdle && i.closing && i.notice != nil:
+		i.closeWithNotice(c)
+	case state == http.StateIdle:
+		i.conns[c] = connIdle
+	default:
+		i.conns[c] = connActive
+	}
+}
+
+// takenOverCount returns the number of connections that were taken over and are open.
+func (i *idleConns) takenOverCount() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return len(i.takenOver)
+}
+
+// closeTakenOver closes the connections that were taken over.
+func (i *idleConns) closeTakenOver() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for c := range i.takenOver {
+		_ = c.Close()
+	}
+}
+
 // wasNotified reports whether the notice has been sent on the connection of a
 // request. The notice says that the request was not run, so it must not be run.
 func (i *idleConns) wasNotified(r *http.Request) bool {
--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -131,6 +131,7 @@
 	reporter       reporter
 	omissions      omissions
 	servers        servers
+	pipelines      pipelines
 	backend        backendState
 	departures     departures
 	recallOnce     sync.Once
--- a/io/process/gtnode/serve.go
+++ b/io/process/gtnode/serve.go
@@ -16,7 +16,9 @@
 	"golang.org/x/sys/unix"
 
 	"godwittide/core/connection/gtliveness"
+	"godwittide/core/connection/gtsequence"
 	"godwittide/core/process/gttimer"
+	"godwittide/io/connection/gtpipeline"
 	"godwittide/io/connection/gtpool"
 	"godwittide/io/connection/gtsocket"
 )
@@ -157,7 +159,8 @@
 	if n.Middleware != nil {
 		edgeHandler = n.Middleware(edgeHandler)
 	}
-	n.servers.edge = n.newServer(n.servers.edgeConns.closeWhen(n.drain.Begun, edgeHandler))
+	edgeHandler = n.servers.edgeConns.closeWhen(n.drain.Begun, edgeHandler)
+	n.servers.edge = n.newServer(edgeHandler)
 	n.servers.hop = n.newServer(n.servers.hopConns.closeWhen(n.drain.LingerEnded, n.hopHandler))
 	n.servers.admin = n.newServer(n.adminHandler())
 	n.servers.listeners = l
@@ -168,6 +171,9 @@
 	}
 	n.servers.edge.ConnContext, n.servers.hop.ConnContext = gtsocket.WithConn, gtsocket.WithConn
 	edge := &limitListener{Listener: l.edge, maxConns: int64(n.Settings.Limit.MaxCallerConnections)}
+	if n.Settings.Limit.Pipeline > 1 {
+		n.servePipelining(edge, edgeHandler)
+	}
 	for _, s := range []struct {
 		server *http.Server
 		ln     net.Listener
@@ -182,6 +188,34 @@
 	n.wg.Go(func() { n.acceptPeers(ctx, &limitListener{Listener: l.peer, maxConns: maxPeerConns}) })
 }
 
+const (
+	// maxAheadBytes is the maximum size of the requests of one connection that run ahead of
+	// their turn. Larger ones wait for their turn with their body unread.
+	maxAheadBytes = 256 << 10
+	// maxKeptBytes is the maximum size of the responses of one connection that wait for their
+	// turn.
+	maxKeptBytes = 1 << 20
+)
+
+// servePipelining lets the server of callers' requests serve connections on which requests
+// are sent ahead. It changes the server and the listener before they are used.
+func (n *Node) servePipelining(edge *limitListener, h http.Handler) {
+	server, limit := n.servers.edge, n.Settings.Limit
+	pipeline := &gtpipeline.Server{
+		Handler: h, Idempotent: n.edge.IsIdempotent, Draining: n.drain.Begun,
+		Limits:       gtsequence.Limits{Requests: limit.Pipeline, RequestBytes: maxAheadBytes, ResponseBytes: maxKeptBytes},
+		MaxHeadBytes: limit.MaxHeadBytes, ReadTimeout: time.Duration(limit.ReadTimeout), IdleTimeout: idleTimeout,
+		OnState: n.servers.edgeConns.trackTakenOver, OnWait: resetReceived, OnRequest: n.pipelines.recordRequest,
+		OnTakeOver: n.logTakeOver, ErrorLog: debugLogger(n.Log),
+	}
+	server.Handler, server.ConnContext = pipeline, pipeline.ConnContext
+	server.ConnState = func(c net.Conn, state http.ConnState) {
+		pipeline.ConnState(c, state)
+		n.servers.edgeConns.trackState(c, state)
+	}
+	edge.Listener = pipeline.Listener(edge.Listener)
+}
+
 // acceptPeers accepts control connections of peers until the listener is closed.
 func (n *Node) acceptPeers(ctx context.Context, ln net.Listener) {
 	for {
@@ -217,7 +251,7 @@
 	for _, server := range []*http.Server{s.edge, s.hop, s.admin} {
 		ok = server.Shutdown(ctx) == nil && ok
 	}
-	return ok
+	return ok && s.edgeConns.takenOverCount() == 0
 }
 
 // close closes the servers and their connections at once.
@@ -226,6 +260,7 @@
 	for _, server := range []*http.Server{s.edge, s.hop, s.admin} {
 		_ = server.Close()
 	}
+	s.edgeConns.closeTakenOver()
 	_ = s.listeners.peer.Close()
 }
 
@@ -276,6 +311,13 @@
 
 func (c *limitConn) resetReceived() { c.received.Store(false) }
 
+// resetReceived forgets that bytes have been received on a connection that waits for a request.
+func resetReceived(c net.Conn) {
+	if lc, ok := c.(*limitConn); ok {
+		lc.resetReceived()
+	}
+}
+
 // NetConn returns the connection that the limit is on.
 func (c *limitConn) NetConn() net.Conn { return c.Conn }
 
--- a/io/request/gtedge/edge.go
+++ b/io/request/gtedge/edge.go
@@ -32,6 +32,7 @@
 	"godwittide/core/version/gtcanary"
 	"godwittide/core/version/gtconfig"
 	"godwittide/core/version/gtdelta"
+	"godwittide/io/connection/gtpipeline"
 	"godwittide/io/connection/gtpool"
 	"godwittide/io/request/gthop"
 )
@@ -183,6 +184,13 @@
 	return e.sendByKey(ctx, cfg, c)
 }
 
+// IsIdempotent reports whether a request may run beside others of its connection. One that
+// matches no route may match a non-idempotent one by the time that it is served.
+func (e *Edge) IsIdempotent(r *http.Request) bool {
+	route, ok := e.Holder.Current().Config().Match(r.Method, r.Host, r.URL.Path)
+	return ok && route.Idempotent(r.Method)
+}
+
 // newCall returns the call for a request of a caller. If it fails, the returned
 // call is empty, or has the ID and route of a request whose body can't be read.
 func (e *Edge) newCall(cfg *gtconfig.Config, r *http.Request, entry *gtinflight.Entry) (gtcall.Call, error) {
@@ -195,6 +203,9 @@
 	if !ok {
 		return gtcall.Call{}, gtkind.New(gtkind.NoRoute, "no route matches %s %.100s", r.Method, r.URL.Path)
 	}
+	if gtpipeline.MayRunBeside(r.Context()) && !route.Idempotent(r.Method) {
+		return gtcall.Call{}, gtkind.New(gtkind.Refused, "the route became non-idempotent as the request was read ahead of its turn")
+	}
 	key := r.Header.Get(gthop.HeaderIdempotencyKey)
 	if len(key) > maxKeyBytes {
 		return gtcall.Call{}, gtkind.New(gtkind.BadRequest, "idempotency key is longer than %d bytes", maxKeyBytes)
