gtpipeline: framing and answers on a taken-over connection are those of net/http

- a chunked body whose end is a bare line feed was accepted, which net/http refuses: two parties that frame a body differently take one request for another;
- a field Host continued on a second line was checked without that line;
- 417, the close of HTTP/1.0 and of a head that is cut off were answered in another way;
- HEAD responses had no Content-Type.

--- a/io/connection/gtpipeline/conn.go
+++ b/io/connection/gtpipeline/conn.go
@@ -8,12 +8,12 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
+	"golang.org/x/net/http/httpguts"
 
 	"godwittide/core/connection/gtsequence"
 )
@@ -88,7 +88,10 @@
 // serve runs the handler of a request in a goroutine of its own, and then ends its context.
 func (c *conn) serve(resp *response, r *http.Request, cancel context.CancelFunc) {
 	h := c.server.Handler
-	if r.RequestURI == "*" && r.Method == http.MethodOptions {
+	switch {
+	case !expectsNothingElse(r):
+		h = http.HandlerFunc(refuseExpectation)
+	case r.RequestURI == "*" && r.Method == http.MethodOptions:
 		h = http.HandlerFunc(answerOptions)
 	}
 	c.requests.Go(func() {
@@ -107,6 +110,22 @@
 // answerOptions answers a request about the server as a whole, as net/http does.
 func answerOptions(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Content-Length", "0") }
 
+// refuseExpectation refuses a request with an unknown expectation, as net/http does.
+func refuseExpectation(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Connection", "close")
+	w.WriteHeader(http.StatusExpectationFailed)
+}
+
+// expectsNothingElse reports whether a request has no expectation but the interim response.
+func expectsNothingElse(r *http.Request) bool {
+	return r.Header.Get("Expect") == "" || expectsContinue(r)
+}
+
+// expectsContinue reports whether the caller waits for an interim response.
+func expectsContinue(r *http.Request) bool {
+	return httpguts.HeaderValuesContainsToken(r.Header["Expect"], "100-continue")
+}
+
 // run serves the connection until it is closed.
 func (c *conn) run() {
 	defer close(c.closed)
@@ -176,37 +195,40 @@
 	}
 }
 
-// awaitRequest waits for the first byte of a request, and reports whether it has come.
+// awaitRequest waits for the beginning of a request, and reports whether it has come. Line ends
+// before it are skipped if skipLines is true.
 func (c *conn) awaitRequest(skipLines bool) bool {
-	for skipped := 0; ; skipped++ {
-		c.mu.Lock()
-		if c.sequence.Stopped() {
-			c.mu.Unlock()
-			return false
-		}
-		if c.br.Buffered() == 0 {
-			c.waiting = true
-			if c.server.OnWait != nil {
-				c.server.OnWait(c.nc)
-			}
-		}
-		c.updateLocked()
-		c.mu.Unlock()
-		b, err := c.br.Peek(1)
-		c.mu.Lock()
-		c.waiting = false
-		c.setReadDeadlineLocked(time.Now().Add(c.server.ReadTimeout))
-		c.updateLocked()
+	c.mu.Lock()
+	if c.sequence.Stopped() {
 		c.mu.Unlock()
-		if err != nil {
-			c.failRead(err)
-			return false
-		}
-		if !skipLines || skipped == maxLeadingBytes || b[0] != '\r' && b[0] != '\n' {
-			return true
+		return false
+	}
+	if c.br.Buffered() == 0 {
+		c.waiting = true
+		if c.server.OnWait != nil {
+			c.server.OnWait(c.nc)
 		}
-		_, _ = c.br.Discard(1)
 	}
+	c.updateLocked()
+	c.mu.Unlock()
+	_, err := c.br.Peek(1)
+	c.mu.Lock()
+	c.waiting = false
+	c.setReadDeadlineLocked(time.Now().Add(c.server.ReadTimeout))
+	c.updateLocked()
+	c.mu.Unlock()
+	start := []byte(nil)
+	if err == nil {
+		start, err = c.br.Peek(minHeadBytes)
+	}
+	if err != nil {
+		c.failRead(err)
+		return false
+	}
+	if skipLines {
+		_, _ = c.br.Discard(len(start) - len(bytes.TrimLeft(start, "\r\n")))
+	}
+	return true
 }
 
 // updateLocked sets the deadline of waiting for a request, and reports whether the connection
@@ -287,9 +309,8 @@
 // startRequest starts a request once it may, and waits until its body has been read. It
 // reports whether the next request may be read.
 func (c *conn) startRequest(r *http.Request, headBytes int) bool {
-	if expect := r.Header.Get("Expect"); expect != "" && !strings.EqualFold(expect, "100-continue") {
-		c.failRead(&refusal{status: http.StatusExpectationFailed})
-		return false
+	if !expectsNothingElse(r) {
+		r.Close, r.ContentLength = true, 0 // its body is not read
 	}
 	size := requestSize(r, headBytes)
 	ctx, cancel := context.WithCancel(c.base.Context())
@@ -302,7 +323,7 @@
 	resp := newResponse(c, r, http.Header{})
 	if resp.body = newBody(c.br, r); resp.body != nil {
 		r.Body = resp.body
-		if r.Header.Get("Expect") != "" {
+		if expectsContinue(r) && r.ProtoAtLeast(1, 1) {
 			resp.body.interim = resp.writeContinue
 		}
 	}
--- a/io/connection/gtpipeline/request.go
+++ b/io/connection/gtpipeline/request.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"math"
 	"net/http"
 	"net/http/httputil"
+	"net/textproto"
 	"strings"
 	"sync/atomic"
 
@@ -18,16 +20,16 @@
 const (
 	// headSlack is what net/http allows above the maximum size of a head.
 	headSlack = 4096
-	// maxLeadingBytes is how many line ends net/http tolerates before a request that follows
-	// a POST.
-	maxLeadingBytes = 4
+	// minHeadBytes is how much of a request net/http waits for before it reads it. As many
+	// line ends are tolerated before a request that follows a POST.
+	minHeadBytes = 4
 	// maxDiscardBytes is the maximum size of the rest of a body that is read and discarded
 	// to keep the connection open, as in net/http.
 	maxDiscardBytes = 256 << 10
-	// maxTrailerBytes is the maximum size of the trailer of a chunked body.
-	maxTrailerBytes = 4096
 	// alone is the size of a request that starts only once all ahead of it are answered.
 	alone = math.MaxInt64
+	// lineEnd ends the lines behind a chunked body.
+	lineEnd = "\r\n"
 )
 
 // errTrailer is the error of a body whose trailer is malformed or too long.
@@ -76,7 +78,7 @@
 		case err == bufio.ErrBufferFull:
 			continue
 		case err != nil:
-			return nil, err
+			return nil, malformedOr(err, head)
 		}
 		if line := head[lineStart:]; len(line) == 1 || len(line) == 2 && line[0] == '\r' {
 			return head, nil
@@ -85,20 +87,39 @@
 	}
 }
 
+// malformedOr returns the refusal of a head that is malformed as far as it has come, or err.
+// net/http's server refuses it as soon as it has read so far.
+func malformedOr(err error, head []byte) error {
+	_, parseErr := http.ReadRequest(bufio.NewReader(io.MultiReader(bytes.NewReader(head), failingReader{err})))
+	if parseErr == nil || errors.Is(parseErr, err) || errors.Is(parseErr, io.ErrUnexpectedEOF) {
+		return err
+	}
+	return refuseHead(parseErr)
+}
+
+// refuseHead returns the refusal of a head that http.ReadRequest can't parse.
+func refuseHead(err error) *refusal {
+	if isTransferEncoding(err) {
+		return &refusal{status: http.StatusNotImplemented, detail: "Unsupported transfer encoding"}
+	}
+	return badRequest("")
+}
+
 // parseHead parses a head and makes the checks that net/http's server makes. The body of the
 // request is empty.
 func parseHead(head []byte) (*http.Request, error) {
 	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
 	switch {
-	case err != nil && isTransferEncoding(err):
-		return nil, &refusal{status: http.StatusNotImplemented, detail: "Unsupported transfer encoding"}
 	case err != nil:
-		return nil, badRequest("")
+		return nil, refuseHead(err)
 	case r.ProtoMajor != 1:
 		return nil, &refusal{status: http.StatusHTTPVersionNotSupported, detail: "unsupported protocol version"}
 	}
 	r.Body = http.NoBody
-	host, hasHost := findHost(head)
+	host, hasHost := r.Host, r.Host != ""
+	if !hasHost || r.URL.Host != "" {
+		host, hasHost = findHost(head)
+	}
 	if !hasHost && r.ProtoAtLeast(1, 1) && r.Method != http.MethodConnect {
 		return nil, badRequest("missing required Host header")
 	}
@@ -126,18 +147,19 @@
 
 // findHost returns the field Host of a head, which http.ReadRequest removes.
 func findHost(head []byte) (string, bool) {
-	for line := range bytes.Lines(head) {
-		if name, value, ok := bytes.Cut(line, []byte(":")); ok && strings.EqualFold(string(name), "Host") {
-			return string(bytes.Trim(value, " \t\r\n")), true
-		}
+	lines := textproto.NewReader(bufio.NewReader(bytes.NewReader(head)))
+	_, _ = lines.ReadLine()
+	h, _ := lines.ReadMIMEHeader()
+	if len(h["Host"]) == 0 {
+		return "", false
 	}
-	return "", false
+	return h["Host"][0], true
 }
 
 // requestSize returns what a request takes ahead of its turn. One whose body has an unknown
 // size, or waits for an interim response, starts alone: interim responses go in order, too.
 func requestSize(r *http.Request, headBytes int) int64 {
-	if r.ContentLength < 0 || r.Header.Get("Expect") != "" && r.ContentLength > 0 {
+	if r.ContentLength < 0 || r.ContentLength > 0 && expectsContinue(r) {
 		return alone
 	}
 	return r.ContentLength + min(int64(headBytes), alone-r.ContentLength)
@@ -204,23 +226,28 @@
 	return n, err
 }
 
-// readTrailer reads the lines behind the last chunk, and returns io.EOF at their end.
+// readTrailer reads the lines behind the last chunk, and returns io.EOF at their end. It
+// accepts what net/http accepts: an empty line, or fields that the buffer holds.
 func (b *body) readTrailer() error {
-	for size := 0; size <= maxTrailerBytes; {
-		line, err := b.br.ReadSlice('\n')
-		size += len(line)
-		switch {
-		case err == io.EOF:
-			return io.ErrUnexpectedEOF
-		case err != nil:
-			return err
-		case len(line) == 1 || len(line) == 2 && line[0] == '\r':
-			return io.EOF
-		case bytes.IndexByte(line, ':') <= 0:
+	end, err := b.br.Peek(len(lineEnd))
+	switch {
+	case string(end) == lineEnd:
+		_, _ = b.br.Discard(len(lineEnd))
+		return io.EOF
+	case len(end) < len(lineEnd):
+		return errTrailer
+	case err != nil:
+		return err
+	}
+	for n := 2 * len(lineEnd); !bytes.HasSuffix(end, []byte(lineEnd+lineEnd)); n++ {
+		if end, err = b.br.Peek(n); err != nil {
 			return errTrailer
 		}
 	}
-	return errTrailer
+	if _, err := textproto.NewReader(b.br).ReadMIMEHeader(); err != nil {
+		return err
+	}
+	return io.EOF
 }
 
 // Close stops the handler's reading.
--- a/io/connection/gtpipeline/response.go
+++ b/io/connection/gtpipeline/response.go
@@ -19,8 +19,8 @@
 type response struct {
 	conn   *conn
 	number uint64
-	// head, method and whether the caller asks for the close, of the request.
-	isHead, asksClose bool
+	// isHead, and whether the caller asks for the close, or not to close with HTTP/1.0.
+	isHead, asksClose, asksKeep bool
 	minor             int // of the protocol's version
 	body              *body
 	header            http.Header
@@ -45,7 +45,7 @@
 
 func newResponse(c *conn, r *http.Request, header http.Header) *response {
 	return &response{
-		conn: c, isHead: r.Method == http.MethodHead, asksClose: r.Close || !r.ProtoAtLeast(1, 1), minor: r.ProtoMinor,
+		conn: c, isHead: r.Method == http.MethodHead, asksClose: r.Close, asksKeep: !r.Close && r.ProtoMinor == 0, minor: r.ProtoMinor,
 		header: header, length: -1, done: make(chan struct{}), lock: make(chan struct{}, 1),
 	}
 }
@@ -123,11 +123,8 @@
 		return 0, http.ErrBodyNotAllowed
 	}
 	r.written += int64(len(p))
-	switch {
-	case r.length != -1 && r.written > r.length:
+	if r.length != -1 && r.written > r.length {
 		return 0, http.ErrContentLength
-	case r.isHead:
-		return len(p), nil
 	}
 	for !r.conn.isFront(r.number) {
 		kept, err := r.conn.keep(r.number, len(p))
@@ -225,7 +222,7 @@
 		r.headSent = true
 		r.writeHead()
 	}
-	if len(r.kept) > 0 {
+	if len(r.kept) > 0 && !r.isHead {
 		if r.chunked {
 			_, _ = fmt.Fprintf(w, "%x\r\n", len(r.kept))
 		}
@@ -268,15 +265,21 @@
 		r.chunked = true
 	}
 	h.Del("Transfer-Encoding")
+	_, hasConnection := h["Connection"]
+	keeps := r.asksKeep && !asksClose && (r.isHead || r.length != -1 || !allowed)
+	asksClose = asksClose || r.minor == 0 && !keeps
 	if _, ok := h["Content-Type"]; allowed && !ok && !hasEncoding && len(r.kept) > 0 && h.Get("Content-Encoding") == "" {
 		add("Content-Type", http.DetectContentType(r.kept))
 	}
 	r.closes = r.conn.closesAfter(r.number, asksClose)
-	if r.closes || httpguts.HeaderValuesContainsToken(h["Connection"], "close") {
+	if r.closes != httpguts.HeaderValuesContainsToken(h["Connection"], "close") {
 		h.Del("Connection")
+		if r.closes && r.minor > 0 {
+			add("Connection", "close")
+		}
 	}
-	if r.closes {
-		add("Connection", "close")
+	if !r.closes && keeps && !hasConnection {
+		add("Connection", "keep-alive")
 	}
 	if r.chunked {
 		add("Transfer-Encoding", "chunked")
