--- a/io/connection/gtpipeline/response.go
+++ b/io/connection/gtpipeline/response.go
@@ -21,10 +21,10 @@
 	number uint64
 	// isHead, and whether the caller asks for the close, or not to close with HTTP/1.0.
 	isHead, asksClose, asksKeep bool
-	minor             int // of the protocol's version
-	body              *body
-	header            http.Header
-	done              chan struct{} // closed once the handler has returned
+	minor                       int // of the protocol's version
+	body                        *body
+	header                      http.Header
+	done                        chan struct{} // closed once the handler has returned
 
 	// lock holds a token while the following fields are in use. It is held while the caller
 	// reads slowly, and so is no mutex.
