gtsoak: callers that send requests ahead, one for each site

The soak had only callers that wait for each response, so that no fault and no stop met requests sent ahead. A further caller for each site sends up to six requests at once, a third of them POST, in one write or several. Requests behind the last response of a connection are recorded as unread: a POST among them must not have run, and each response must belong to its request. The faults of a seed stay the same, as these callers draw from streams of their own.

--- a/io/process/gtsoak/callers.go
+++ b/io/process/gtsoak/callers.go
@@ -48,14 +48,15 @@
 	finished []call
 }
 
-// start starts a caller for each site, with connections of its own. The returned
-// function stops the callers and waits until their calls have finished. If runCtx
+// start starts two callers for each site, with connections of their own: one that waits for
+// each response, and one that sends requests ahead. The returned function stops the callers and waits until their calls have finished. If runCtx
 // ends, requests aren't resent any more.
 func (c *callers) start(runCtx context.Context, edgeURLs []string, seed uint64, interval time.Duration) func() {
 	ctx, cancel := context.WithCancel(runCtx)
 	var wg sync.WaitGroup
 	for i := range edgeURLs {
 		wg.Go(func() { c.run(ctx, runCtx, i, edgeURLs, rand.New(rand.NewPCG(seed, uint64(2+i))), interval) })
+		wg.Go(func() { c.runAhead(ctx, i, edgeURLs[i], rand.New(rand.NewPCG(seed, uint64(aheadStream+i))), interval) })
 	}
 	return func() {
 		cancel()
