--- a/io/connection/gtpipeline/conn.go
+++ b/io/connection/gtpipeline/conn.go
@@ -141,6 +141,11 @@
 		c.server.OnState(c.nc, http.StateClosed)
 	}
 	c.requests.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range c.responses {
+		c.releaseLocked(r)
+	}
 }
 
 // close closes the connection once the caller has had time to read the last response.
@@ -327,7 +332,7 @@
 			resp.body.interim = resp.writeContinue
 		}
 	}
-	if !c.admit(resp, idempotent, size) {
+	if !c.admit(resp, idempotent, size, headBytes) {
 		cancel()
 		return false
 	}
@@ -345,24 +350,46 @@
 
 // admit waits until a request may start, and starts it. It returns false if the connection
 // closes before.
-func (c *conn) admit(resp *response, idempotent bool, size int64) bool {
+func (c *conn) admit(resp *response, idempotent bool, size int64, headBytes int) bool {
 	c.mu.Lock()
 	depth := c.sequence.Len() + 1
 	c.mu.Unlock()
 	if depth > 1 && c.server.OnRequest != nil {
 		c.server.OnRequest(depth)
 	}
-	mayStart := func() bool { return c.sequence.MayStart(idempotent, size) }
+	// A head counts only while others are ahead of it.
+	mayStart := func() bool {
+		return c.sequence.MayStart(idempotent, size) && (c.sequence.Len() == 0 || resp.reserved > 0 || c.reserveLocked(resp, headBytes))
+	}
 	c.await(func() bool { return c.sequence.Stopped() || mayStart() })
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !mayStart() {
+		c.releaseLocked(resp)
 		return false
 	}
 	c.startLocked(resp, idempotent, size)
 	return true
 }
 
+// reserveLocked reserves bytes of the budget for a response or its request, and reports whether
+// it could. The caller holds the lock.
+func (c *conn) reserveLocked(r *response, bytes int) bool {
+	if c.server.Reserve != nil && !c.server.Reserve(int64(bytes)) {
+		return false
+	}
+	r.reserved += int64(bytes)
+	return true
+}
+
+// releaseLocked gives back what was reserved. The caller holds the lock.
+func (c *conn) releaseLocked(r *response) {
+	if c.server.Release != nil && r.reserved > 0 {
+		c.server.Release(r.reserved)
+	}
+	r.reserved = 0
+}
+
 // writeResponses writes the responses in the order of the requests, until the connection
 // closes.
 func (c *conn) writeResponses() {
@@ -383,6 +410,7 @@
 		closes := r.complete()
 		c.mu.Lock()
 		c.responses = c.responses[1:]
+		c.releaseLocked(r)
 		c.sequence.Answer(closes)
 		c.updateLocked()
 		c.changed.Broadcast()
@@ -399,17 +427,25 @@
 
 // keep reports whether bytes of a response may be kept until its turn. It fails if the turn
 // won't come.
-func (c *conn) keep(n uint64, bytes int) (bool, error) {
+func (c *conn) keep(r *response, bytes int) (bool, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case c.sequence.Ended():
 		return false, errClosing
-	case c.sequence.IsFront(n):
+	case c.sequence.IsFront(r.number):
 		return false, nil
-	default:
-		return c.sequence.Keep(n, bytes), nil
+	case !c.reserveLocked(r, bytes):
+		return false, nil
+	}
+	kept := c.sequence.Keep(r.number, bytes)
+	if !kept {
+		r.reserved -= int64(bytes)
+		if c.server.Release != nil {
+			c.server.Release(int64(bytes))
+		}
 	}
+	return kept, nil
 }
 
 // awaitFront waits until it is the turn of a response, or the connection closes.
--- a/io/connection/gtpipeline/pipeline.go
+++ b/io/connection/gtpipeline/pipeline.go
@@ -36,6 +36,12 @@
 	Idempotent func(r *http.Request) bool
 	// Limits bounds what a connection may hold.
 	Limits gtsequence.Limits
+	// Reserve reserves bytes of the process's budget for the head of a request that runs ahead
+	// of its turn, or for a response that waits for it, and reports whether it could. If not,
+	// the request or response waits for its turn. Release gives them back. Bodies of requests
+	// are reserved by whoever reads them. Nil means that nothing is reserved.
+	Reserve func(bytes int64) bool
+	Release func(bytes int64)
 	// MaxHeadBytes is the maximum size of a request's head, as in http.Server.
 	MaxHeadBytes int
 	// ReadTimeout is the timeout for reading a request.
--- a/io/connection/gtpipeline/pipeline_test.go
+++ b/io/connection/gtpipeline/pipeline_test.go
@@ -526,3 +526,34 @@
 		g.Expect(taken.Load()).To(gomega.BeZero())
 	})
 }
+
+// Where the process has no memory to spare, requests and responses wait for their turn, and
+// none is lost. All that was reserved is given back, also when the caller leaves.
+func TestRequestsWaitForTheirTurnWithoutABudget(t *testing.T) {
+	for _, budget := range []int64{0, 100, 30 << 10} {
+		gtclock.Run(t, func(t *testing.T, network *gtpipe.Network) {
+			g := gomega.NewWithT(t)
+			s := newSite(network, 16)
+			defer s.server.Close()
+			var used, peak atomic.Int64
+			s.pipeline.Reserve = func(n int64) bool {
+				if used.Load()+n > budget {
+					return false
+				}
+				peak.Store(max(peak.Load(), used.Add(n)))
+				return true
+			}
+			s.pipeline.Release = func(n int64) { used.Add(-n) }
+			c := s.dial()
+			_, _ = io.WriteString(c, request("GET", "a?ms=100")+request("GET", "b?bytes=40000")+request("GET", "c?bytes=40000")+request("GET", "d"))
+			g.Expect(ids(readAnswers(c, 4))).To(gomega.Equal("a b c d"))
+			g.Expect(used.Load()).To(gomega.BeZero())
+			g.Expect(peak.Load()).To(gomega.BeNumerically("<=", budget))
+			_, _ = io.WriteString(c, request("GET", "a?ms=5000")+request("GET", "b?bytes=10000")+request("GET", "c"))
+			time.Sleep(100 * time.Millisecond)
+			_ = c.Close()
+			time.Sleep(time.Second)
+			g.Expect(used.Load()).To(gomega.BeZero())
+		})
+	}
+}
--- a/io/connection/gtpipeline/response.go
+++ b/io/connection/gtpipeline/response.go
@@ -25,6 +25,7 @@
 	body                        *body
 	header                      http.Header
 	done                        chan struct{} // closed once the handler has returned
+	reserved                    int64         // of the process\'s budget; guarded by the lock of the connection
 
 	// lock holds a token while the following fields are in use. It is held while the caller
 	// reads slowly, and so is no mutex.
@@ -127,7 +128,7 @@
 		return 0, http.ErrContentLength
 	}
 	for !r.conn.isFront(r.number) {
-		kept, err := r.conn.keep(r.number, len(p))
+		kept, err := r.conn.keep(r, len(p))
 		if err != nil {
 			return 0, err
 		}
