--- a/io/connection/gtpipeline/pipeline.go
+++ b/io/connection/gtpipeline/pipeline.go
@@ -128,7 +128,7 @@
 		return
 	}
 	first := &firstWriter{ResponseWriter: w, server: s, request: r, header: w.Header()}
-	if nc.begin(r.ContentLength, first.takeOver) && s.Idempotent(r) {
+	if nc.begin(r.ContentLength, first) && s.Idempotent(r) {
 		if r.ContentLength != 0 {
 			// The whole body has been read from the connection, so this doesn't wait.
 			b, err := io.ReadAll(r.Body)
@@ -169,6 +169,8 @@
 	server  *Server
 	request *http.Request
 	header  http.Header // net/http's writer must not be asked for it beside the handler
+	// returned is set once the handler has returned without a panic.
+	returned bool
 
 	mu       sync.Mutex
 	begun    bool      // the handler has written or returned: net/http keeps the connection
@@ -179,26 +181,34 @@
 // serve runs the handler. If the connection is taken over meanwhile, it returns only once
 // the connection has been closed, since net/http ends the context of its requests then.
 func (f *firstWriter) serve() {
-	returned := false
-	defer func() {
-		f.begin()
-		if f.conn == nil {
-			return
-		}
-		if !returned {
-			f.conn.server.logPanic(f.request, recover())
-			f.response.abort()
-		}
-		f.response.finish()
-		<-f.conn.closed
-	}()
+	defer f.end()
 	f.server.Handler.ServeHTTP(f, f.request)
-	returned = true
+	f.returned = true
+}
+
+// end ends the request, whose handler has returned or panicked. It must be deferred.
+func (f *firstWriter) end() {
+	f.begin()
+	if f.conn == nil {
+		return
+	}
+	if !f.returned {
+		f.server.logPanic(f.request, recover())
+		f.response.abort()
+	}
+	f.response.finish()
+	<-f.conn.closed
 }
 
 // takeOver takes the connection over because bytes of a further request have arrived. It
 // returns at once.
 func (f *firstWriter) takeOver() {
+	f.mu.Lock()
+	begun := f.begun
+	f.mu.Unlock()
+	if begun {
+		return // as when the next request of a caller that waits for each response comes early
+	}
 	go func() {
 		if f.server.Idempotent(f.request) && f.tryTakeOver() {
 			f.conn.run()
--- a/io/connection/gtpipeline/watch.go
+++ b/io/connection/gtpipeline/watch.go
@@ -17,7 +17,7 @@
 
 	mu       sync.Mutex
 	boundary boundary
-	onAhead  func() // nil unless a request is served
+	first    *firstWriter // of the request that is served, or nil
 }
 
 // NetConn returns the connection that is watched.
@@ -35,14 +35,14 @@
 }
 
 // begin tells that a request whose body has the given length (-1: unknown) is served from now
-// on. It reports whether bytes of a further request are there already. If not, onAhead is
-// called once they are and the body has been read.
-func (c *watchedConn) begin(bodyLength int64, onAhead func()) bool {
+// on. It reports whether bytes of a further request are there already. If not, the writer
+// of its response is told once they are and the body has been read.
+func (c *watchedConn) begin(bodyLength int64, first *firstWriter) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	ahead := c.boundary.begin(bodyLength)
 	if !ahead {
-		c.onAhead = onAhead
+		c.first = first
 	}
 	return ahead
 }
@@ -58,22 +58,20 @@
 func (c *watchedConn) becomeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.onAhead = nil
+	c.first = nil
 	c.boundary.becomeIdle()
 }
 
-// notifyLocked calls onAhead if a further request has begun to arrive, and unlocks.
+// notifyLocked tells the writer of the response if a further request has begun to arrive, and
+// unlocks.
 func (c *watchedConn) notifyLocked() {
-	notify := c.onAhead
-	if !c.boundary.ahead() {
-		notify = nil
-	}
-	if notify != nil {
-		c.onAhead = nil
+	var first *firstWriter
+	if c.boundary.ahead() {
+		first, c.first = c.first, nil
 	}
 	c.mu.Unlock()
-	if notify != nil {
-		notify()
+	if first != nil {
+		first.takeOver()
 	}
 }
 
