gtpipeline: a late interruption of a body cancels no other request

The reading of a body is interrupted by a deadline in the past on its connection. If that came just as the last byte had been read, and the next request waited for its turn, the watch of the socket took the timeout for a caller that had left, and all requests of the connection were canceled. The watch now ends at a timeout without that.

--- a/io/connection/gtpipeline/conn.go
+++ b/io/connection/gtpipeline/conn.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -46,8 +45,6 @@
 	cancel context.CancelFunc
 	closed chan struct{}
 
-	watchEnds atomic.Bool // the watch of the socket is to end
-
 	mu        sync.Mutex
 	changed   *sync.Cond
 	sequence  *gtsequence.Sequence
@@ -269,7 +266,6 @@
 // in its turn. One that has not arrived in time counts as not read.
 func (c *conn) failRead(err error) {
 	var refused *refusal
-	var timeout net.Error
 	switch {
 	case errors.As(err, &refused):
 		resp := newResponse(c, c.base, http.Header{})
@@ -281,12 +277,18 @@
 			c.startLocked(resp, true, 0)
 			c.sequence.Stop()
 		}
-	case errors.As(err, &timeout) && timeout.Timeout():
+	case isTimeout(err):
 	default:
 		c.leave()
 	}
 }
 
+// isTimeout reports whether a read has ended by its deadline.
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // leave tells that the caller has left: its requests are canceled.
 func (c *conn) leave() {
 	c.mu.Lock()
@@ -498,7 +500,8 @@
 			switch {
 			case err == nil:
 				continue
-			case errors.Is(err, bufio.ErrBufferFull) || c.watchEnds.Load():
+			case errors.Is(err, bufio.ErrBufferFull) || isTimeout(err):
+				// Besides the end of the watch, gtsocket.InterruptRead may come late for a body.
 			default:
 				c.leave()
 			}
@@ -506,10 +509,8 @@
 		}
 	}()
 	return func() {
-		c.watchEnds.Store(true)
 		_ = c.nc.SetReadDeadline(aLongTimeAgo)
 		<-ended
-		c.watchEnds.Store(false)
 		c.mu.Lock()
 		c.setReadDeadlineLocked(time.Time{})
 		c.mu.Unlock()
--- a/io/connection/gtpipeline/pipeline_test.go
+++ b/io/connection/gtpipeline/pipeline_test.go
@@ -20,6 +20,7 @@
 	"godwittide/core/connection/gtsequence"
 	"godwittide/io/connection/gtpipe"
 	"godwittide/io/connection/gtpipeline"
+	"godwittide/io/connection/gtsocket"
 	"godwittide/test/gtclock"
 )
 
@@ -94,6 +95,9 @@
 			return
 		}
 	}
+	if q.Get("interrupt") != "" {
+		gtsocket.InterruptRead(r.Context())
+	}
 	if ms, _ := strconv.Atoi(q.Get("ms")); ms > 0 {
 		select {
 		case <-time.After(time.Duration(ms) * time.Millisecond):
@@ -114,6 +118,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Id", name)
+	if q.Get("fault") == "short" {
+		w.Header().Set("Content-Length", "100")
+	}
 	if q.Get("close") != "" || s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -248,6 +255,7 @@
 		{"no body, HEAD and no content", []string{request("GET", "a?ms=100"), request("HEAD", "b"), request("GET", "c?status=204"), request("GET", "d?status=304"), request("GET", "e")}, "", "a b c d e", time.Second},
 		{"a panic", []string{request("GET", "a?ms=100"), request("GET", "b?fault=panic"), request("GET", "c?ms=500")}, "a", "a b c", 200 * time.Millisecond},
 		{"one that is cut off", []string{request("GET", "a?ms=100"), request("GET", "b?fault=abort"), request("POST", "c")}, "a", "a b", 200 * time.Millisecond},
+		{"one that is shorter than it says", []string{request("GET", "a?ms=100"), request("GET", "b?fault=short"), request("GET", "c?ms=500")}, "a cut", "a b c", 200 * time.Millisecond},
 		{"a close in the middle", []string{request("GET", "a?ms=100"), request("GET", "b?close=1&ms=50"), request("GET", "c?ms=70"), request("POST", "d")}, "a b!", "a b c", 200 * time.Millisecond},
 		{"the caller's close in the middle", []string{request("GET", "a?ms=100"), "GET /b HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", request("GET", "c")}, "a b!", "a b", 200 * time.Millisecond},
 		{"a malformed one", []string{request("GET", "a?ms=100"), "GET /b HTTP/1.1\r\nHost: a\r\n: x\r\n\r\n", request("GET", "c")}, "a 400!", "a", 200 * time.Millisecond},
@@ -281,8 +289,11 @@
 						expectStatuses(g, c, tc.requests)
 					}
 					time.Sleep(time.Second)
-					began, _, overlaps := s.look()
+					began, canceled, overlaps := s.look()
 					g.Expect(overlaps).To(gomega.BeEmpty())
+					if !strings.ContainsAny(tc.want, "!") && (tc.began == "" || tc.began == tc.want) {
+						g.Expect(canceled).To(gomega.BeEmpty())
+					}
 					if tc.began == "" {
 						tc.began = tc.want
 					}
@@ -470,6 +481,22 @@
 	})
 }
 
+// The reading of a body may be interrupted just as its last byte has been read. That must not
+// be taken for a caller that has left, while the next request waits for its turn.
+func TestALateInterruptionOfABodyCancelsNothing(t *testing.T) {
+	gtclock.Run(t, func(t *testing.T, network *gtpipe.Network) {
+		g := gomega.NewWithT(t)
+		s := newSite(network, 16)
+		defer s.server.Close()
+		c := s.dial()
+		defer c.Close()
+		_, _ = io.WriteString(c, request("GET", "a?ms=300")+request("PUT", "b?ms=200&interrupt=1")+request("POST", "c"))
+		g.Expect(ids(readAnswers(c, 3))).To(gomega.Equal("a b c"))
+		_, canceled, _ := s.look()
+		g.Expect(canceled).To(gomega.BeEmpty())
+	})
+}
+
 // A connection that was taken over is closed when it is idle for too long, or a request does
 // not arrive in time.
 func TestConnectionsThatWereTakenOverTimeOut(t *testing.T) {
@@ -557,3 +584,75 @@
 		})
 	}
 }
+
+// The rest of a body that is too large to be discarded must not be read as a request: a caller
+// could let others send requests in its name.
+func TestTheRestOfABodyIsNoRequest(t *testing.T) {
+	gtclock.Run(t, func(t *testing.T, network *gtpipe.Network) {
+		g := gomega.NewWithT(t)
+		s := newSite(network, 16)
+		defer s.server.Close()
+		c := s.dial()
+		defer c.Close()
+		body := strings.Repeat(request("GET", "hidden"), 20000)
+		go func() {
+			_, _ = io.WriteString(c, request("GET", "a?ms=100")+fmt.Sprintf("PUT /b?read=no HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+		}()
+		g.Expect(ids(readAnswers(c, 3))).To(gomega.Equal("a b!"))
+		time.Sleep(time.Second)
+		began, _, _ := s.look()
+		g.Expect(began).To(gomega.Equal([]string{"a", "b"}))
+	})
+}
+
+// A request over the bound on bytes starts at its turn, with its body unread until then.
+func TestLargeRequestsWaitForTheirTurn(t *testing.T) {
+	gtclock.Run(t, func(t *testing.T, network *gtpipe.Network) {
+		g := gomega.NewWithT(t)
+		s := newSite(network, 16)
+		defer s.server.Close()
+		c := s.dial()
+		defer c.Close()
+		large := strings.Repeat("x", 65<<10)
+		_, _ = io.WriteString(c, request("GET", "a?ms=300")+request("GET", "b")+fmt.Sprintf("PUT /c HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", len(large), large))
+		time.Sleep(200 * time.Millisecond)
+		began, _, _ := s.look()
+		slices.Sort(began)
+		g.Expect(began).To(gomega.Equal([]string{"a", "b"}))
+		g.Expect(ids(readAnswers(c, 3))).To(gomega.Equal("a b c"))
+		g.Expect(s.bodies["c"]).To(gomega.Equal(large))
+	})
+}
+
+// A handler begins to write while the connection is about to be taken over: the response must
+// not be torn in two.
+func TestAResponseThatHasBegunStaysWithNetHTTP(t *testing.T) {
+	gtclock.Run(t, func(t *testing.T, network *gtpipe.Network) {
+		g := gomega.NewWithT(t)
+		s := newSite(network, 16)
+		defer s.server.Close()
+		s.pipeline.Idempotent = func(*http.Request) bool {
+			time.Sleep(100 * time.Millisecond)
+			return true
+		}
+		s.pipeline.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(50 * time.Millisecond)
+			w.Header().Set("Id", r.URL.Path[1:])
+			_, _ = io.WriteString(w, "first")
+			w.(http.Flusher).Flush()
+			time.Sleep(200 * time.Millisecond)
+			_, _ = io.WriteString(w, "second")
+		})
+		c := s.dial()
+		defer c.Close()
+		for _, name := range []string{"a", "b", "c"} {
+			_, _ = io.WriteString(c, request("GET", name))
+			time.Sleep(time.Millisecond)
+		}
+		answers := readAnswers(c, 3)
+		g.Expect(ids(answers)).To(gomega.Equal("a b c"))
+		for _, a := range answers {
+			g.Expect(a.size).To(gomega.Equal(len("firstsecond")))
+		}
+	})
+}
