--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -148,6 +148,7 @@
 	omissions      omissions
 	accounts       gtaccountstats.Stats
 	servers        servers
+	pipelines      pipelines
 	backend        backendState
 	departures     departures
 	recallOnce     sync.Once
--- a/io/request/gtedge/edge.go
+++ b/io/request/gtedge/edge.go
@@ -33,6 +33,7 @@
 	"godwittide/core/version/gtcanary"
 	"godwittide/core/version/gtconfig"
 	"godwittide/core/version/gtdelta"
+	"godwittide/io/connection/gtpipeline"
 	"godwittide/io/connection/gtpool"
 	"godwittide/io/request/gthop"
 )
@@ -184,6 +185,13 @@
 	return e.sendByKey(ctx, cfg, c)
 }
 
+// IsIdempotent reports whether a request may run beside others of its connection. One that
+// matches no route may match a non-idempotent one by the time that it is served.
+func (e *Edge) IsIdempotent(r *http.Request) bool {
+	route, ok := e.Holder.Current().Config().Match(r.Method, r.Host, r.URL.Path)
+	return ok && route.Idempotent(r.Method)
+}
+
 // newCall returns the call for a request of a caller. If it fails, the returned
 // call is empty, or has the ID and route of a request that carries no valid key of an
 // account, or whose body can't be read.
@@ -203,6 +211,9 @@
 		return gtcall.New(id, r.Method, r.URL.RequestURI()).WithRoute("", route.Name(), route.Class()), err
 	}
 	class := route.ClassFor(account)
+	if gtpipeline.MayRunBeside(r.Context()) && !route.Idempotent(r.Method) {
+		return gtcall.Call{}, gtkind.New(gtkind.Refused, "the route became non-idempotent as the request was read ahead of its turn")
+	}
 	key := r.Header.Get(gthop.HeaderIdempotencyKey)
 	if len(key) > maxKeyBytes {
 		return gtcall.Call{}, gtkind.New(gtkind.BadRequest, "idempotency key is longer than %d bytes", maxKeyBytes)
