gtconfig: a route's target latency

Callers of the most urgent routes had late responses although servers had free slots: neither the router nor the admission gate knew up to which latency a response has its full value. The platform's targetLatency only ordered the routes.

Route.Target() is 0 without one. The folder key is "target", a duration of at most 10m.

Nothing reads the target yet.

--- a/core/version/gtconfig/config.go
+++ b/core/version/gtconfig/config.go
@@ -103,6 +103,7 @@
 	class        Class
 	maxAttempts  int
 	timeout      time.Duration
+	target       time.Duration
 }
 
 // Idempotency defines which requests of a route are idempotent.
@@ -151,6 +152,10 @@
 // Timeout returns the timeout of a call, or 0 if the service's timeout applies.
 func (r Route) Timeout() time.Duration { return r.timeout }
 
+// Target returns the latency up to which a response has its full value to the
+// caller, or 0 if the configuration sets none.
+func (r Route) Target() time.Duration { return r.target }
+
 // Idempotent reports whether a request on the route with the given method is
 // idempotent.
 func (r Route) Idempotent(method string) bool {
--- a/core/version/gtconfig/config_test.go
+++ b/core/version/gtconfig/config_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
@@ -73,3 +74,25 @@
 	g.Expect(full.Checksum()).NotTo(gomega.Equal(partial.Checksum()))
 	g.Expect(Empty().ServiceCount()).To(gomega.BeZero())
 }
+
+// A target out of range must be reported, as a timeout is, and a missing one be 0.
+func TestRouteTarget(t *testing.T) {
+	g := gomega.NewWithT(t)
+	merge := func(entries ...Entry) (*Config, []Problem) {
+		return Merge([]File{NewFile("f", append(entries,
+			NewEntry("f", 1, "service", "s", "timeout", StringValue("1s")),
+			NewEntry("f", 2, "route", "r", "service", StringValue("s")),
+			NewEntry("f", 3, "route", "r", "path", StringValue("/"))))})
+	}
+	cfg, problems := merge()
+	g.Expect(problems).To(gomega.BeEmpty())
+	g.Expect(cfg.Routes()[0].Target()).To(gomega.BeZero())
+	cfg, problems = merge(NewEntry("f", 4, "route", "r", "target", StringValue("250ms")))
+	g.Expect(problems).To(gomega.BeEmpty())
+	g.Expect(cfg.Routes()[0].Target()).To(gomega.Equal(250 * time.Millisecond))
+	for _, text := range []string{"0s", "-1s", "250", "11m"} {
+		_, problems = merge(NewEntry("f", 4, "route", "r", "target", StringValue(text)))
+		g.Expect(problems).To(gomega.HaveLen(1), text)
+		g.Expect(problems[0].String()).To(gomega.HavePrefix("f:4: route.r.target: "))
+	}
+}
--- a/core/version/gtconfig/merge.go
+++ b/core/version/gtconfig/merge.go
@@ -48,6 +48,7 @@
 	"route": {
 		"service": TypeString, "split": TypeList, "host": TypeString, "path": TypeString, "method": TypeList,
 		"repeat": TypeBool, "class": TypeString, "rank": TypeNumber, "attempts": TypeNumber, "timeout": TypeString,
+		"target": TypeString,
 	},
 	"move": {
 		"service": TypeString, "from": TypeString, "to": TypeString, "by": TypeTime, "within": TypeString,
@@ -178,7 +179,7 @@
 }
 
 func (m *merger) route(cfg *Config, name string, es entrySet) Route {
-	r := Route{name: name, host: es.text("host"), path: es.text("path"), timeout: m.duration(es, "timeout", 0)}
+	r := Route{name: name, host: es.text("host"), path: es.text("path"), timeout: m.duration(es, "timeout", 0), target: m.duration(es, "target", 0)}
 	r.destinations = m.destinations(cfg, name, es)
 	r.maxAttempts = int(m.number(es, "attempts", 0, MaxAttempts))
 	if !strings.HasPrefix(r.path, "/") {
@@ -294,16 +295,16 @@
 }
 
 // duration returns the duration under key, or def if the key is missing. A
-// duration that is malformed, not above 0 or, for a timeout, above MaxTimeout is
-// reported as a problem.
+// duration that is malformed, not above 0 or, for a timeout or a target, above
+// MaxTimeout is reported as a problem.
 func (m *merger) duration(es entrySet, key string, def time.Duration) time.Duration {
 	e, ok := es[key]
 	if !ok {
 		return def
 	}
 	d, err := time.ParseDuration(e.value.text)
-	if err != nil || d <= 0 || d > MaxTimeout && key == "timeout" {
-		m.reject(e, "expected a duration above 0 such as \"250ms\" or \"2s\" (at most %s for a timeout)", MaxTimeout)
+	if err != nil || d <= 0 || d > MaxTimeout && (key == "timeout" || key == "target") {
+		m.reject(e, "expected a duration above 0 such as \"250ms\" or \"2s\" (at most %s for a timeout or a target)", MaxTimeout)
 		return def
 	}
 	return d
