gtroute, gthop: choose servers by the estimated time to completion

Each response between nodes now carries Gt-Capacity: what the node has learned of the server beside it, and the time since the request's arrival, from which the sender measures the round trip to the zone. If the servers of a service differ in speed by more than a fifth, the sender compares five random servers of its zone and four of others by the probability of being late for the target, with a cost for those that are full or much in use. A reported load approaches the mean of the server's reports with its age. Other zones are used in proportion to the spare capacity that their summaries tell; without a valid summary the choice is local first, as before. Services whose servers are equally fast get the same choices as before, request by request.

Summaries are not sent yet.

--- a/core/request/gtcall/call.go
+++ b/core/request/gtcall/call.go
@@ -44,6 +44,7 @@
 	crashes       int
 	maxBackends   int
 	deadline      time.Time
+	dueAt         time.Time
 }
 
 // New returns a call. The ID must be unique among the calls in flight; the target
@@ -58,6 +59,16 @@
 // Method returns the HTTP method.
 func (c Call) Method() string { return c.method }
 
+// DueAt returns the time up to which a response has its full value to the caller, or the
+// zero time if there is none.
+func (c Call) DueAt() time.Time { return c.dueAt }
+
+// WithDueAt returns a copy with that time.
+func (c Call) WithDueAt(t time.Time) Call {
+	c.dueAt = t
+	return c
+}
+
 // Target returns the path and query.
 func (c Call) Target() string { return c.target }
 
--- a/core/request/gtroute/errorrate_test.go
+++ b/core/request/gtroute/errorrate_test.go
@@ -30,7 +30,7 @@
 	for ; now.Sub(start) < 30*time.Second; now = now.Add(interval) {
 		failing := now.Sub(start) >= 10*time.Second && now.Sub(start) < 20*time.Second
 		router := routers[r.IntN(len(routers))]
-		to := router.balance(list, "r").record.Instance()
+		to := router.balanceList(list, "r").record.Instance()
 		fail := failing && to == "in-z1" && r.Float64() < 0.5
 		errorRates[to].Add(fail, now)
 		l := NewLoad(3, 9)
--- a/core/request/gtroute/load.go
+++ b/core/request/gtroute/load.go
@@ -1,6 +1,7 @@
 package gtroute
 
 import (
+	"math"
 	"time"
 
 	"godwittide/core/process/gtmember"
@@ -42,6 +43,12 @@
 	// minSpillGain is how much lower the load in another zone must be for a
 	// request to leave the local zone when both are full.
 	minSpillGain = 0.5
+	// meanBusyTime is the time constant of the moving average of the reported requests.
+	meanBusyTime = 5 * time.Second
+	// summaryWeight is the weight of a summary against the loads that this node has seen
+	// itself within meanBusyTime. If all nodes of a zone believed the same, they would
+	// send their requests to the same instances.
+	summaryWeight = 0.3
 	// peerTTL is how long the state of an instance without requests is kept.
 	peerTTL = 10 * time.Minute
 )
@@ -52,6 +59,8 @@
 	limit       int
 	serviceTime time.Duration
 	errorRate   float64
+	capacity    Capacity
+	elapsed     time.Duration
 }
 
 // NewLoad returns a load of busy requests, running or queued, under a concurrency
@@ -78,6 +87,25 @@
 // ErrorRate returns the error rate, 0 to 1.
 func (l Load) ErrorRate() float64 { return l.errorRate }
 
+// WithCapacity returns a copy with what the node of the backend server has learned of it.
+func (l Load) WithCapacity(c Capacity) Load {
+	l.capacity = c
+	return l
+}
+
+// Capacity returns what the node of the backend server has learned of it.
+func (l Load) Capacity() Capacity { return l.capacity }
+
+// WithElapsed returns a copy with the time from the arrival of the request at the node of
+// the backend server to its response.
+func (l Load) WithElapsed(d time.Duration) Load {
+	l.elapsed = d
+	return l
+}
+
+// Elapsed returns that time, or 0 if it is unknown.
+func (l Load) Elapsed() time.Duration { return l.elapsed }
+
 // Busy returns the number of requests that run or are queued.
 func (l Load) Busy() int { return l.busy }
 
@@ -94,18 +122,29 @@
 	unreachable  bool // whether the instance could not be reached at the last failure
 	usedAt       time.Time
 	serviceTimes map[string]serviceTime
+	// inflightThen is inflight at loadAt.
+	inflightThen int
+	// meanBusy is the moving average of the reported requests.
+	meanBusy float64
+	// reportedLimit is the concurrency limit of the last summary, received at reportedAt.
+	reportedLimit int
+	reportedAt    time.Time
+	// capacity is what the instance last reported to have learned, whenever that was.
+	capacity Capacity
 }
 
-// serviceTime is the reported service time of a route.
+// serviceTime is the reported service time of a route, and the one that the instance has
+// learned over a longer time.
 type serviceTime struct {
 	value      time.Duration
 	reportedAt time.Time
+	learned    time.Duration
 }
 
 // setServiceTime records the service time of a route, unless it is 0 for unknown.
 // If maxRoutesPerPeer is reached, it drops an arbitrary other route.
-func (p *peer) setServiceTime(route string, d time.Duration, now time.Time) {
-	if d <= 0 {
+func (p *peer) setServiceTime(route string, d, learned time.Duration, now time.Time) {
+	if d <= 0 && learned <= 0 {
 		return
 	}
 	if p.serviceTimes == nil {
@@ -117,7 +156,20 @@
 			break
 		}
 	}
-	p.serviceTimes[route] = serviceTime{d, now}
+	p.serviceTimes[route] = serviceTime{d, now, learned}
+}
+
+// report stores the load that the instance had at a time.
+func (p *peer) report(load Load, at time.Time) {
+	weight := 1.0
+	if !p.loadAt.IsZero() {
+		weight = 1 - math.Exp(-at.Sub(p.loadAt).Seconds()/meanBusyTime.Seconds())
+	}
+	p.meanBusy += weight * (float64(load.busy) - p.meanBusy)
+	p.load, p.loadAt, p.inflightThen = load, at, p.inflight
+	if load.capacity.IsKnown() {
+		p.capacity = load.capacity
+	}
 }
 
 // Begin records that a request is being sent to the instance.
@@ -141,8 +193,8 @@
 	rt.withPeer(instance, func(p *peer) {
 		p.inflight--
 		if load.limit > 0 {
-			p.load, p.loadAt = load, now
-			p.setServiceTime(route, load.serviceTime, now)
+			p.report(load, now)
+			p.setServiceTime(route, load.serviceTime, load.capacity.serviceTime, now)
 		}
 		switch {
 		case isInstanceFailure(k):
@@ -197,11 +249,12 @@
 	now := rt.Now()
 	rt.peers.Each(func(m map[string]*peer) {
 		for name, p := range m {
-			if p.inflight == 0 && now.Sub(p.usedAt) > peerTTL {
+			if p.inflight == 0 && now.Sub(p.usedAt) > peerTTL && now.Sub(p.reportedAt) > peerTTL {
 				delete(m, name)
 			}
 		}
 	})
+	rt.expireViews(now)
 }
 
 // withPeer runs fn on the state of an instance under the lock of its shard.
@@ -220,7 +273,7 @@
 
 // candidate is an instance with the properties by which instances are compared.
 type candidate struct {
-	record gtmember.Record
+	record *gtmember.Record
 	// load is the share of the concurrency limit in use, plus ejectedLoad if the
 	// instance is ejected.
 	load float64
@@ -264,29 +317,58 @@
 }
 
 // candidate returns an instance with what is known of it for requests on a route.
-func (rt *Router) candidate(r gtmember.Record, route string) candidate {
+func (rt *Router) candidate(r *gtmember.Record, route string) candidate {
 	now := rt.Now()
 	c := candidate{record: r}
 	rt.peers.Do(r.Instance(), func(m map[string]*peer) {
-		p := m[r.Instance()]
-		if p == nil {
-			return
+		if p := m[r.Instance()]; p != nil {
+			c.describe(p, route, now)
 		}
-		limit := r.Slots()
-		busy := p.inflight
-		if p.load.limit > 0 && now.Sub(p.loadAt) < loadTTL {
-			limit = p.load.limit
-			c.errorRate = p.load.errorRate
-			busy = max(busy, p.load.busy)
+	})
+	return c
+}
+
+// describe sets what is known of the instance.
+func (c *candidate) describe(p *peer, route string, now time.Time) {
+	limit := c.record.Slots()
+	busy := p.inflight
+	if p.load.limit > 0 && now.Sub(p.loadAt) < loadTTL {
+		limit = p.load.limit
+		c.errorRate = p.load.errorRate
+		busy = max(busy, p.load.busy)
+	}
+	c.load = float64(busy) / float64(limit)
+	if now.Before(p.ejectedUntil) {
+		c.load += ejectedLoad
+		c.probing = p.unreachable && p.inflight > 0
+	}
+	if st, ok := p.serviceTimes[route]; ok && now.Sub(st.reportedAt) < serviceTimeTTL {
+		c.serviceTime = st.value
+	}
+}
+
+// Report stores what a summary tells of an instance: the capacity and, as the load, the
+// mean number of requests that ran or were queued there, under the concurrency limit. The
+// mean has no effect on the latest load: all nodes of a zone get a summary at the same
+// time, and would send their requests to the same instances.
+func (rt *Router) Report(instance string, mean float64, limit int, c Capacity) {
+	now := rt.Now()
+	rt.peers.Do(instance, func(m map[string]*peer) {
+		p := m[instance]
+		if p == nil {
+			p = &peer{usedAt: now}
+			m[instance] = p
 		}
-		c.load = float64(busy) / float64(limit)
-		if now.Before(p.ejectedUntil) {
-			c.load += ejectedLoad
-			c.probing = p.unreachable && p.inflight > 0
+		if c.IsKnown() {
+			p.capacity = c
 		}
-		if st, ok := p.serviceTimes[route]; ok && now.Sub(st.reportedAt) < serviceTimeTTL {
-			c.serviceTime = st.value
+		if limit > 0 {
+			weight := 1.0
+			if now.Sub(p.loadAt) < meanBusyTime {
+				weight = summaryWeight
+			}
+			p.meanBusy += weight * (mean - p.meanBusy)
+			p.reportedLimit, p.reportedAt = limit, now
 		}
 	})
-	return c
 }
--- a/core/request/gtroute/load_test.go
+++ b/core/request/gtroute/load_test.go
@@ -44,7 +44,7 @@
 	}
 	recoveredAt := start.Add((periods-1)*period + outage)
 	for ; now.Sub(recoveredAt) < limit; now = now.Add(step) {
-		r := rt.balance(list, "r").record
+		r := rt.balanceList(list, "r").record
 		rt.Begin(r.Instance())
 		if r.Instance() == "healthy" {
 			rt.End(r.Instance(), "r", gtkind.None, Load{})
@@ -100,7 +100,7 @@
 				rt.Begin(list[i].Instance())
 				rt.End(list[i].Instance(), "r", gtkind.None, NewLoad(busy, 10))
 			}
-			if to := rt.balance(list, "r").record; to.Instance() == "b1" {
+			if to := rt.balanceList(list, "r").record; to.Instance() == "b1" {
 				count++
 			}
 		}
--- a/core/request/gtroute/route.go
+++ b/core/request/gtroute/route.go
@@ -30,6 +30,9 @@
 	route   string
 	key     string
 	tried   []string
+	// target is the time within which a response has its full value, or 0 if there is
+	// none.
+	target time.Duration
 	// draw is the number in [0,1) that decides between the versions of a move, if
 	// drawn is set.
 	draw  float64
@@ -51,6 +54,13 @@
 	return q
 }
 
+// WithTarget returns a copy with the time that is left until a response loses value. Zero
+// means that there is no target; a request that is late already has a negative one.
+func (q Query) WithTarget(d time.Duration) Query {
+	q.target = d
+	return q
+}
+
 // WithTried returns a copy that excludes the instances tried so far.
 func (q Query) WithTried(tried []string) Query {
 	q.tried = tried
@@ -74,12 +84,19 @@
 	// is picked only as the new one of a move, by name, or if there is no other. Nil means
 	// that none was.
 	IsRolledBack func(service, version string) bool
+	// Spare returns the spare capacity of a service in another zone, and false if there is
+	// no summary of it. Nil means that there are none.
+	Spare func(service, zone string) (Spare, bool)
 	// OnMovePick is called with the service, the version of the instance and the
 	// reason each time an instance is picked for a service that has a move. It may be
 	// nil.
 	OnMovePick func(service, version string, reason Reason)
 
 	peers gtshard.Map[*peer]
+	// views holds what is known of services as a whole, by route and service.
+	views gtshard.Map[map[string]*view]
+	// roundTrips holds the measured round trip to each zone.
+	roundTrips gtshard.Map[time.Duration]
 }
 
 // Pick returns the instance for a request. The error kind is NoRoute for an unknown
@@ -132,13 +149,15 @@
 	if !ok {
 		return gtmember.Record{}, Drawn, gtkind.New(gtkind.NoRoute, "service %q is not configured", q.service)
 	}
-	eligible := rt.eligible(cfg, q)
-	if len(eligible) == 0 {
+	buf := buffersPool.Get().(*buffers)
+	defer buf.release()
+	buf.addEligible(cfg, rt.Instances(q.service), q)
+	if len(buf.eligible) == 0 {
 		return gtmember.Record{}, Drawn, gtkind.New(gtkind.NoBackend, "service %q has no ready backend server", q.service)
 	}
 	var firstErr error
 	for i, v := range rt.versions(cfg, service, q) {
-		r, err := rt.pickOf(rt.ofVersion(eligible, q.service, v, moveTarget(cfg, service)), v, q)
+		r, err := rt.pickOf(buf, rt.ofVersion(buf, q.service, v, moveTarget(cfg, service)), v, q)
 		if err == nil {
 			return r, q.reason(i), nil
 		}
@@ -150,34 +169,22 @@
 }
 
 // pickOf returns the instance for a request among those of a version.
-func (rt *Router) pickOf(list []gtmember.Record, version string, q Query) (gtmember.Record, error) {
+func (rt *Router) pickOf(buf *buffers, list refs, version string, q Query) (gtmember.Record, error) {
 	if len(list) == 0 {
 		return gtmember.Record{}, gtkind.New(gtkind.NoBackend, "service %q has no ready backend server of version %q", q.service, version)
 	}
+	buf.splitByZone(list, rt.Zone)
 	if q.key != "" {
-		return rt.keyOwner(list, q), nil
+		return *keyOwner(buf, q), nil
 	}
-	best := rt.balance(list, q.route)
+	best := rt.choose(buf, q)
 	if best.probing {
 		return gtmember.Record{}, gtkind.New(gtkind.NoBackend, "backend servers of service %q are unreachable and being probed by another request", q.service)
 	}
 	if len(q.tried) > 0 && best.load >= queueFullLoad {
 		return gtmember.Record{}, gtkind.New(gtkind.Full, "all other known backend servers of service %q are full", q.service)
 	}
-	return best.record, nil
-}
-
-// eligible returns the ready instances of the service that are not in a drained
-// zone and have not been tried yet.
-func (rt *Router) eligible(cfg *gtconfig.Config, q Query) []gtmember.Record {
-	all := rt.Instances(q.service)
-	ready := make([]gtmember.Record, 0, len(all))
-	for _, r := range all {
-		if r.State() == gtmember.Ready && !cfg.IsZoneDrained(r.Zone()) && !contains(q.tried, r.Instance()) {
-			ready = append(ready, r)
-		}
-	}
-	return ready
+	return *best.record, nil
 }
 
 func contains(list []string, s string) bool {
@@ -189,27 +196,15 @@
 	return false
 }
 
-// splitByZone returns the instances in the local zone and those in other zones.
-func (rt *Router) splitByZone(list []gtmember.Record) (local, remote []gtmember.Record) {
-	for _, r := range list {
-		if r.Zone() == rt.Zone {
-			local = append(local, r)
-		} else {
-			remote = append(remote, r)
-		}
-	}
-	return local, remote
-}
-
-// keyOwner returns the instance with the highest rendezvous hash for the key, in
-// the local zone unless that has none.
-func (rt *Router) keyOwner(list []gtmember.Record, q Query) gtmember.Record {
-	local, remote := rt.splitByZone(list)
-	if len(local) == 0 {
-		local = remote
+// keyOwner returns the instance with the highest rendezvous hash for the key, in the
+// local zone unless that has none.
+func keyOwner(buf *buffers, q Query) *gtmember.Record {
+	list := buf.local
+	if len(list) == 0 {
+		list = buf.remote
 	}
-	best, maxScore := local[0], uint64(0)
-	for _, r := range local {
+	best, maxScore := list[0], uint64(0)
+	for _, r := range list {
 		if score := gtshard.Hash("home", q.service, q.key, r.Instance()); score >= maxScore {
 			best, maxScore = r, score
 		}
@@ -220,8 +215,7 @@
 // balance returns the better of two random instances in the local zone, or the
 // better of two in other zones if the local one is full, ejected or much worse and
 // the other has room or a much lower load.
-func (rt *Router) balance(list []gtmember.Record, route string) candidate {
-	local, remote := rt.splitByZone(list)
+func (rt *Router) balance(local, remote refs, route string) candidate {
 	if len(local) == 0 {
 		return rt.betterOfTwo(remote, route)
 	}
@@ -244,7 +238,7 @@
 
 // betterOfTwo returns the better of two random instances, or the least loaded of
 // all if both are ejected.
-func (rt *Router) betterOfTwo(list []gtmember.Record, route string) candidate {
+func (rt *Router) betterOfTwo(list refs, route string) candidate {
 	i := rt.randomIndex(len(list))
 	a := rt.candidate(list[i], route)
 	if len(list) == 1 {
@@ -265,7 +259,7 @@
 }
 
 // leastLoaded returns the instance with the lowest load.
-func (rt *Router) leastLoaded(list []gtmember.Record, route string) candidate {
+func (rt *Router) leastLoaded(list refs, route string) candidate {
 	best := rt.candidate(list[0], route)
 	for _, r := range list[1:] {
 		if c := rt.candidate(r, route); c.load < best.load {
--- a/core/request/gtroute/servicetime_test.go
+++ b/core/request/gtroute/servicetime_test.go
@@ -85,7 +85,7 @@
 		}
 		now = t
 		router := r.IntN(len(routers))
-		to := routers[router].balance(list, "r").record
+		to := routers[router].balanceList(list, "r").record
 		i := slices.IndexFunc(list, func(m gtmember.Record) bool { return m.Instance() == to.Instance() })
 		routers[router].Begin(to.Instance())
 		busy[i]++
--- a/core/request/gtroute/unreachable_test.go
+++ b/core/request/gtroute/unreachable_test.go
@@ -89,7 +89,7 @@
 		rt.Begin("a")
 		rt.Begin("a")
 		rt.End("a", "r", k, Load{})
-		g.Expect(rt.balance(list, "r").probing).To(gomega.BeFalse(), k.String())
+		g.Expect(rt.balanceList(list, "r").probing).To(gomega.BeFalse(), k.String())
 		rt.End("a", "r", gtkind.None, Load{})
 	}
 }
--- a/core/request/gtroute/version.go
+++ b/core/request/gtroute/version.go
@@ -74,52 +74,68 @@
 	return m.To()
 }
 
-// ofVersion returns the instances of a version. An empty version means all, and
+// ofVersion returns the eligible instances of a version. An empty version means all, and
 // gtconfig.OtherVersions all but those of target; both leave out versions that were rolled
 // back, unless the service has no other.
-func (rt *Router) ofVersion(list []gtmember.Record, service, version, target string) []gtmember.Record {
+func (rt *Router) ofVersion(buf *buffers, service, version, target string) refs {
 	switch version {
 	case "":
-		return rt.withoutRolledBack(list, service, "")
+		return rt.withoutRolledBack(buf, buf.eligible, service, "")
 	case gtconfig.OtherVersions:
-		return rt.withoutRolledBack(filter(list, func(r gtmember.Record) bool { return r.Version() != target }), service, target)
+		buf.version = buf.version[:0]
+		for _, r := range buf.eligible {
+			if r.Version() != target {
+				buf.version = append(buf.version, r)
+			}
+		}
+		return rt.withoutRolledBack(buf, buf.version, service, target)
 	default:
-		return filter(list, func(r gtmember.Record) bool { return r.Version() == version })
+		buf.version = buf.version[:0]
+		for _, r := range buf.eligible {
+			if r.Version() == version {
+				buf.version = append(buf.version, r)
+			}
+		}
+		return buf.version
 	}
 }
 
 // withoutRolledBack returns the instances whose versions were not rolled back, or the
 // whole list if the service has none but of the version target.
-func (rt *Router) withoutRolledBack(list []gtmember.Record, service, target string) []gtmember.Record {
+func (rt *Router) withoutRolledBack(buf *buffers, list refs, service, target string) refs {
 	if rt.IsRolledBack == nil {
 		return list
 	}
-	verdicts := map[string]bool{}
-	isRolledBack := func(r gtmember.Record) bool {
-		verdict, ok := verdicts[r.Version()]
-		if !ok {
-			verdict = rt.IsRolledBack(service, r.Version())
-			verdicts[r.Version()] = verdict
-		}
-		return verdict
-	}
-	if !slices.ContainsFunc(list, isRolledBack) {
+	verdicts := verdicts{isRolledBack: rt.IsRolledBack, service: service}
+	if !slices.ContainsFunc(list, func(r *gtmember.Record) bool { return verdicts.of(r.Version()) }) {
 		return list
 	}
-	isOther := func(r gtmember.Record) bool { return r.Version() != target && !isRolledBack(r) }
-	if !slices.ContainsFunc(rt.Instances(service), isOther) {
+	isOther := func(version string) bool { return version != target && !verdicts.of(version) }
+	instances := rt.Instances(service)
+	if !slices.ContainsFunc(instances, func(r gtmember.Record) bool { return isOther(r.Version()) }) {
 		return list
 	}
-	return filter(list, isOther)
-}
-
-// filter returns the records for which keep returns true.
-func filter(list []gtmember.Record, keep func(r gtmember.Record) bool) []gtmember.Record {
-	var out []gtmember.Record
+	kept := buf.version[:0] // each is written at or before the place it was read from
 	for _, r := range list {
-		if keep(r) {
-			out = append(out, r)
+		if isOther(r.Version()) {
+			kept = append(kept, r)
 		}
 	}
-	return out
+	buf.version = kept
+	return kept
+}
+
+// verdicts tells which versions of a service were rolled back. It remembers the last
+// version asked for, since most instances have the same.
+type verdicts struct {
+	isRolledBack  func(service, version string) bool
+	service, last string
+	known, result bool
+}
+
+func (v *verdicts) of(version string) bool {
+	if !v.known || v.last != version {
+		v.last, v.known, v.result = version, true, v.isRolledBack(v.service, version)
+	}
+	return v.result
 }
--- a/core/version/gtconfig/config.go
+++ b/core/version/gtconfig/config.go
@@ -306,6 +306,9 @@
 // IsZoneDrained reports whether operators have drained the availability zone.
 func (c *Config) IsZoneDrained(zone string) bool { return c.drainedZones[zone] }
 
+// HasDrainedZones reports whether operators have drained any availability zone.
+func (c *Config) HasDrainedZones() bool { return len(c.drainedZones) > 0 }
+
 // Match returns the most specific route for a request, and false if none
 // applies. The longest path wins, then a route that names the host, then one
 // that names the method.
--- a/io/process/gtnode/admin.go
+++ b/io/process/gtnode/admin.go
@@ -153,6 +153,8 @@
 // recordResponse logs a response to a caller and updates the metrics.
 func (n *Node) recordResponse(c gtcall.Call, err error, d time.Duration) {
 	k := gtkind.Of(err)
+	now := n.timer.Time()
+	n.calls.Ended(now.Add(-d), now)
 	n.logResponse(c, err, d)
 	n.scope.Tagged(map[string]string{"kind": k.String()}).Counter("answers").Inc(1)
 	n.scope.Tagged(map[string]string{"kind": k.String()}).Histogram("latency", latencyBuckets).RecordDuration(d)
--- a/io/process/gtnode/backend.go
+++ b/io/process/gtnode/backend.go
@@ -162,6 +162,7 @@
 	changed := self.Version() != h.Version() || self.Slots() != h.Slots()
 	if self.Version() != h.Version() {
 		n.outcomes.Restart(uint64(n.timer.Time().UnixMilli()))
+		n.capacity.Reset()
 	}
 	if changed {
 		n.table.SetSelfBackend(h.Version(), h.Slots(), self.State())
--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -26,6 +26,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"godwittide/core/process/gtcapacity"
 	"godwittide/core/process/gtdrain"
 	"godwittide/core/process/gtheartbeat"
 	"godwittide/core/process/gtmember"
@@ -117,6 +118,8 @@
 	overlay     *gtoverlay.Overlay
 
 	gate         *gtadmission.Gate
+	capacity     *gtcapacity.Estimator
+	calls        *gtcapacity.Calls
 	dedup        *gtdedup.Keys
 	retry        *gtretry.Policy
 	router       *gtroute.Router
@@ -275,6 +278,7 @@
 	n.metrics = gtmetric.New()
 	n.scope = n.metrics.Scope()
 	n.gate = &gtadmission.Gate{Now: now, Slots: cfg.Backend.Slots, Fixed: cfg.Backend.FixedLimit, PausedSince: n.timer.PausedSince}
+	n.capacity, n.calls = &gtcapacity.Estimator{PausedSince: n.timer.PausedSince}, &gtcapacity.Calls{}
 	n.dedup = &gtdedup.Keys{Now: now}
 	split := &gtsplit.Split{Rand: rand.Float64}
 	n.retry = &gtretry.Policy{Now: now}
@@ -295,6 +299,9 @@
 	if n.Heartbeats != nil {
 		n.localBackend.WarmUpEnd = n.backend.warmUpEndTime
 	}
+	if cfg.Backend.Learn {
+		n.localBackend.Learned, n.localBackend.OnServed = n.learnedCapacity, n.observeServed
+	}
 	n.hopHandler = &gthop.Handler{LocalBackend: n.localBackend, Timer: n.timer, MaxBodyBytes: cfg.Limit.MaxBodyBytes, OnPanic: n.recordPanic, PausedSince: n.timer.PausedSince, Requests: n.requests}
 	client := &gthop.Client{Now: now, Pool: n.hopPool, Dialect: n.Dialect, MaxBufferBytes: cfg.Limit.MaxBufferBytes, Trace: n.tracer.Start}
 	n.edge = &gtedge.Edge{
--- a/io/process/gtsettings/settings.go
+++ b/io/process/gtsettings/settings.go
@@ -90,6 +90,9 @@
 	MaxConnections int `toml:"connections"`
 	// FixedLimit keeps the concurrency limit at Slots instead of adapting it.
 	FixedLimit bool `toml:"fixed"`
+	// Learn makes the node learn the speed and the capacity of the backend server, which
+	// others then use to choose among the servers of its service.
+	Learn bool `toml:"learn"`
 	// MaxReuseIdle is the longest time that a connection to the backend server may
 	// have been idle and still be reused. 0 means gtliveness.FreshNonIdempotent, or
 	// gtliveness.FreshIdempotent for an idempotent request.
@@ -164,7 +167,7 @@
 	return Settings{
 		Node:    Node{Cluster: "default"},
 		Listen:  Listen{Edge: "127.0.0.1:7400", Hop: "127.0.0.1:7401", Peer: "127.0.0.1:7402", Admin: "127.0.0.1:7403"},
-		Backend: Backend{Slots: 10, MaxConnections: 100},
+		Backend: Backend{Slots: 10, MaxConnections: 100, Learn: true},
 		Store:   Store{Prefix: "godwittide/"},
 		Limit: Limits{
 			MaxBodyBytes: 1 << 20, MaxHeadBytes: 32 << 10, MaxBufferBytes: 64 << 10, MaxHops: 16, MaxCallerConnections: 4096,
--- a/io/request/gtedge/edge.go
+++ b/io/request/gtedge/edge.go
@@ -219,9 +219,31 @@
 		WithRetry(r.Header.Get(gthop.HeaderRetry) == "1").
 		WithHops(hops).
 		WithMaxBackends(route.MaxAttempts()).
+		WithDueAt(dueAt(start, route)).
 		WithDeadline(start.Add(e.Dialect.ShortenTimeout(r, e.timeout(cfg, route, service)))), nil
 }
 
+// dueAt returns the time up to which the response to a request has its full value, or the
+// zero time if its route has no target.
+func dueAt(start time.Time, route gtconfig.Route) time.Time {
+	if route.Target() == 0 {
+		return time.Time{}
+	}
+	return start.Add(route.Target())
+}
+
+// remainingTarget returns the time that is left for a response to have its full value, for
+// gtroute.Query: 0 if there is no target, and less if it has passed.
+func (e *Edge) remainingTarget(c gtcall.Call) time.Duration {
+	if c.DueAt().IsZero() {
+		return 0
+	}
+	if left := c.DueAt().Sub(e.Now()); left != 0 {
+		return left
+	}
+	return -1
+}
+
 // Expire deletes the state of routes that the active configuration no longer has.
 func (e *Edge) Expire() {
 	hasRoute := e.Holder.Current().Config().HasRoute
@@ -252,7 +274,7 @@
 	var lastErr error
 	reached := 0
 	for count := 1; ; count++ {
-		to, err := e.Router.Pick(cfg, q.WithTried(tried))
+		to, err := e.Router.Pick(cfg, q.WithTried(tried).WithTarget(e.remainingTarget(c)))
 		if err != nil {
 			if lastErr != nil {
 				err = lastErr
@@ -360,10 +382,13 @@
 	k := gtkind.Of(err)
 	load := resp.Load()
 	if to.Instance() == e.Self {
-		load = e.LocalBackend.Gate.Load(c.Route())
+		load = e.LocalBackend.Load(c.Route())
 	}
 	e.Router.End(to.Instance(), c.Route(), k, load)
 	d := e.Now().Sub(start)
+	if load.Elapsed() > 0 && k == gtkind.None && resp.Stream() == nil {
+		e.Router.ObserveNetwork(to.Zone(), d-load.Elapsed())
+	}
 	e.recordOutcome(c, to, resp, k, d)
 	if k == gtkind.None {
 		e.Retry.RecordDuration(c.Route(), d)
--- a/io/request/gthop/client.go
+++ b/io/request/gthop/client.go
@@ -96,6 +96,7 @@
 		return gtcall.Response{}, err
 	}
 	meta := decodeResponseMeta(httpResp.Header.Get(HeaderResponse))
+	meta.load = withCapacity(meta.load, httpResp.Header.Get(HeaderCapacity))
 	if meta.id != c.ID() {
 		err := gtkind.New(gtkind.MismatchedResponse, "response from instance %s has request ID %.40q, expected %q", to.Instance(), meta.id, c.ID())
 		gtpool.Discard(httpResp)
--- a/io/request/gthop/handler.go
+++ b/io/request/gthop/handler.go
@@ -47,9 +47,10 @@
 	}
 	entry := h.Requests.Begin(gtinflight.Peer, r.RemoteAddr)
 	defer entry.End()
+	arrival := h.Timer.Time()
 	w.Header()["Date"] = nil // that of the backend server is forwarded
 	meta, err := h.LocalBackend.Dialect.decodeMeta(r)
-	fail := func(w http.ResponseWriter, err error) { h.writeError(w, meta, err) }
+	fail := func(w http.ResponseWriter, err error) { h.writeError(w, meta, arrival, err) }
 	defer Recover(w, h.OnPanic, fail)
 	if err != nil {
 		fail(w, err)
@@ -61,22 +62,26 @@
 	if err != nil {
 		fail(w, err)
 	} else {
-		w.Header().Set(HeaderResponse, encodeResponseMeta(h.responseMeta(meta, gtkind.None)))
+		h.setMeta(w.Header(), meta, arrival, gtkind.None)
 		WriteResponse(w, resp)
 	}
 	entry.SetOutcome(gtinflight.OutcomeOf(err))
 }
 
-func (h *Handler) responseMeta(meta [metaCount]string, k gtkind.Kind) responseMeta {
-	return responseMeta{id: meta[metaID], load: h.LocalBackend.Gate.Load(meta[metaRoute]), kind: k}
+// setMeta sets the header fields by which a peer learns of the response and of the
+// backend server, for a request that arrived at the given time.
+func (h *Handler) setMeta(header http.Header, meta [metaCount]string, arrival time.Time, k gtkind.Kind) {
+	l := h.LocalBackend.Load(meta[metaRoute])
+	header.Set(HeaderResponse, encodeResponseMeta(responseMeta{id: meta[metaID], load: l, kind: k}))
+	setCapacity(header, l, h.Timer.Time().Sub(arrival))
 }
 
 // writeError writes an error response to a peer, with the error's detail as its
 // body.
-func (h *Handler) writeError(w http.ResponseWriter, meta [metaCount]string, err error) {
+func (h *Handler) writeError(w http.ResponseWriter, meta [metaCount]string, arrival time.Time, err error) {
 	k := gtkind.Of(err)
 	detail := gtkind.Detail(err)
-	w.Header().Set(HeaderResponse, encodeResponseMeta(h.responseMeta(meta, k)))
+	h.setMeta(w.Header(), meta, arrival, k)
 	w.Header()["Content-Type"] = nil
 	w.Header().Set("Content-Length", strconv.Itoa(len(detail)))
 	w.WriteHeader(k.Row().Status())
--- a/io/request/gthop/header.go
+++ b/io/request/gthop/header.go
@@ -44,6 +44,9 @@
 	// HeaderResponse holds the metadata of a response between nodes; see
 	// encodeResponseMeta.
 	HeaderResponse = "Gt-Answer"
+	// HeaderCapacity holds, in a response between nodes, what the node has learned of its
+	// backend server; see encodeCapacity.
+	HeaderCapacity = "Gt-Capacity"
 	// HeaderKind holds the error kind, in error responses that a node made.
 	HeaderKind = "Gt-Kind"
 	// HeaderCertainty holds what is known about whether the request ran, in the
@@ -52,7 +55,7 @@
 )
 
 // nodeFields are the header fields that only a node may set.
-var nodeFields = []string{HeaderID, HeaderCall, HeaderVersion, HeaderResponse, HeaderKind, HeaderCertainty}
+var nodeFields = []string{HeaderID, HeaderCall, HeaderVersion, HeaderResponse, HeaderCapacity, HeaderKind, HeaderCertainty}
 
 // backendFields are computed for each request to the backend server. They are
 // removed from requests between nodes.
--- a/io/request/gthop/localbackend.go
+++ b/io/request/gthop/localbackend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"godwittide/core/process/gtmember"
@@ -11,6 +12,7 @@
 	"godwittide/core/request/gtdedup"
 	"godwittide/core/request/gtinflight"
 	"godwittide/core/request/gtkind"
+	"godwittide/core/request/gtroute"
 	"godwittide/core/version/gtcanary"
 	"godwittide/io/connection/gtpool"
 )
@@ -67,10 +69,28 @@
 	// OnResult is called after each call with its status, error and duration. It
 	// may be nil.
 	OnResult func(c gtcall.Call, status int, err error, d time.Duration)
+	// Learned returns what was learned of the backend server, for a route; nil means that
+	// nothing is learned.
+	Learned func(route string) gtroute.Capacity
+	// OnServed is called with the route of each request that the backend server served
+	// after its warm-up, the number of requests that ran when it was sent, itself included,
+	// and when it ran. It may be nil.
+	OnServed func(route string, concurrency int, start, end time.Time)
 	// Dialect adapts requests and responses to the backend server's protocol.
 	Dialect Dialect
 	// Trace starts a span and returns the function that ends it.
 	Trace func(ctx context.Context, name string, h http.Header) (context.Context, func(error))
+
+	running atomic.Int64
+}
+
+// Load returns the load of the backend server, with what was learned of it for a route.
+func (b *LocalBackend) Load(route string) gtroute.Load {
+	l := b.Gate.Load(route)
+	if b.Learned == nil {
+		return l
+	}
+	return l.WithCapacity(b.Learned(route))
 }
 
 // Run runs a call and returns the backend server's response, or an error with a
@@ -129,7 +149,7 @@
 				return gtcall.Response{}, gtkind.New(gtkind.Deadline, "stopped waiting for the first request with this idempotency key, which is still running")
 			}
 		case gtdedup.Replay:
-			return entry.Response().(gtcall.Response).WithLoad(b.Gate.Load(c.Route())), nil
+			return entry.Response().(gtcall.Response).WithLoad(b.Load(c.Route())), nil
 		default:
 			return gtcall.Response{}, verdictError(verdict)
 		}
@@ -237,10 +257,16 @@
 	// read the header of the call concurrently.
 	ctx, end := b.Trace(ctx, "backend", req.Header)
 	start := b.Now()
+	concurrency := int(b.running.Add(1))
 	var status int
 	finish := func(err error) {
 		latency := b.Now().Sub(start)
-		ticket.Done(c.Route(), latency, admissionResult(status, err))
+		b.running.Add(-1)
+		result := admissionResult(status, err)
+		ticket.Done(c.Route(), latency, result)
+		if result == gtadmission.Succeeded && b.OnServed != nil && !start.Before(b.warmUpEnd()) {
+			b.OnServed(c.Route(), concurrency, start, start.Add(latency))
+		}
 		b.recordEvidence(c, status, start, latency, err)
 		end(err)
 		cancel()
@@ -257,7 +283,7 @@
 		resp, err = readResponse(httpResp, b.MaxBufferBytes, finish)
 		if err == nil {
 			b.forgetCrashes(c)
-			return resp.WithLoad(b.Gate.Load(c.Route())), nil
+			return resp.WithLoad(b.Load(c.Route())), nil
 		}
 		return gtcall.Response{}, b.classifyFailure(ctx, c, err)
 	}
