gtsummary, gtoverlay: summaries of capacity within zones and between them

A sender that has 78 peers sees few responses of each, so it knew the load of some servers only, and nothing of the room in other zones until it had tried them. The estimator of a node had no mean of its service to compare with, so each speed was 1.

Each instance tells its zone its load, capacity, speed and the service times of four routes: at most four summaries a second for the whole zone whatever its size, and none without news. The first two nodes of a zone by rank tell each other zone the spare capacity of the services in use, each to a receiver of its own, which passes it on there: at most 64 bytes a second for each pair of zone and service, and 2,000 bytes a second for each sender; above that services that are much in use go first and the others take turns. The summaries are two fields of the message "facts", which earlier nodes ignore; an unknown method would close the link. Spare capacity counts for 3 s.

References are harmonic means of service times over all zones, so the mean of the speeds is 1. They count for ten minutes: at 30 s those of servers that are little used, the slow ones, were missing, and a server of speed 1.52 took itself for 1.31.

--- a/core/request/gtroute/estimate.go
+++ b/core/request/gtroute/estimate.go
@@ -70,15 +70,30 @@
 func (rt *Router) choose(buf *buffers, q Query) candidate {
 	v := rt.view(buf.list, q)
 	if !v.mixed && !v.isShort(rt.Now()) || rt.Rand() < explorePart {
-		return rt.balance(buf.local, buf.remote, q.route)
+		return rt.chooseByLoad(buf, q)
 	}
 	best, ok := rt.bestOf(buf, q, v)
 	if !ok {
-		return rt.balance(buf.local, buf.remote, q.route)
+		return rt.chooseByLoad(buf, q)
+	}
+	rt.byEstimate.Add(1)
+	if best.remote {
+		rt.otherZone.Add(1)
 	}
 	return best.candidate
 }
 
+func (rt *Router) chooseByLoad(buf *buffers, q Query) candidate {
+	rt.byLoad.Add(1)
+	return rt.balance(buf.local, buf.remote, q.route)
+}
+
+// Choices returns how many choices were made by load and by estimate, and how many of the
+// latter went to another zone although there was an instance in the own one.
+func (rt *Router) Choices() (byLoad, byEstimate, otherZone uint64) {
+	return rt.byLoad.Load(), rt.byEstimate.Load(), rt.otherZone.Load()
+}
+
 // bestOf returns the best of a few random instances, and false if the choice by load
 // decides: all are ejected or failing, or they are in full use and the summaries tell of
 // no other zone.
--- a/core/request/gtroute/route.go
+++ b/core/request/gtroute/route.go
@@ -16,6 +16,7 @@
 package gtroute
 
 import (
+	"sync/atomic"
 	"time"
 
 	"godwittide/core/process/gtmember"
@@ -97,6 +98,8 @@
 	views gtshard.Map[map[string]*view]
 	// roundTrips holds the measured round trip to each zone.
 	roundTrips gtshard.Map[time.Duration]
+
+	byLoad, byEstimate, otherZone atomic.Uint64
 }
 
 // Pick returns the instance for a request. The error kind is NoRoute for an unknown
--- a/io/process/gtnode/admin.go
+++ b/io/process/gtnode/admin.go
@@ -161,6 +161,11 @@
 	n.scope.Timer("answer").Record(d)
 }
 
+// summaryCounter returns the counter of the summaries that this node has sent.
+func (n *Node) summaryCounter(of string) tally.Counter {
+	return n.scope.Tagged(map[string]string{"of": of}).Counter("summaries")
+}
+
 // countMovePick counts an instance picked for a service with a move.
 func (n *Node) countMovePick(service, version string, reason gtroute.Reason) {
 	n.scope.Tagged(map[string]string{"service": service, "version": version, "reason": reason.String()}).Counter("picks").Inc(1)
@@ -176,6 +181,14 @@
 	n.scope.Gauge("refused").Update(float64(n.gate.Refused()))
 	n.scope.Gauge("control_sent_bytes").Update(float64(s.ControlBytesSent))
 	n.scope.Gauge("control_received_bytes").Update(float64(s.ControlBytesReceived))
+	n.scope.Gauge("capacity_speed").Update(n.capacity.Speed())
+	n.scope.Gauge("capacity_concurrency").Update(n.capacity.Capacity())
+	n.scope.Gauge("capacity_slowdown").Update(n.capacity.Slowdown())
+	n.scope.Gauge("capacity_changes").Update(float64(n.capacity.Changes()))
+	byLoad, byEstimate, otherZones := n.router.Choices()
+	n.scope.Tagged(map[string]string{"by": "load"}).Gauge("choices").Update(float64(byLoad))
+	n.scope.Tagged(map[string]string{"by": "estimate"}).Gauge("choices").Update(float64(byEstimate))
+	n.scope.Gauge("choices_other_zone").Update(float64(otherZones))
 	n.scope.Gauge("keys").Update(float64(n.dedup.Len()))
 	n.scope.Gauge("crashes").Update(float64(n.crashes.Len()))
 	gtmetric.RecordInFlight(n.scope, n.requests.Counts())
--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -30,6 +30,7 @@
 	"godwittide/core/process/gtdrain"
 	"godwittide/core/process/gtheartbeat"
 	"godwittide/core/process/gtmember"
+	"godwittide/core/process/gtsummary"
 	"godwittide/core/process/gttimer"
 	"godwittide/core/request/gtadmission"
 	"godwittide/core/request/gtdedup"
@@ -120,6 +121,7 @@
 	gate         *gtadmission.Gate
 	capacity     *gtcapacity.Estimator
 	calls        *gtcapacity.Calls
+	summaries    *gtsummary.Table
 	dedup        *gtdedup.Keys
 	retry        *gtretry.Policy
 	router       *gtroute.Router
@@ -132,6 +134,7 @@
 
 	judges         judges
 	reporter       reporter
+	summarizer     summarizer
 	omissions      omissions
 	servers        servers
 	backend        backendState
@@ -251,6 +254,7 @@
 	n.holder = &gtdelta.Holder{Now: now}
 	n.moves = &gtmove.Table{Now: now}
 	n.crashes = &gtdedup.Crashes{Now: now}
+	n.summaries = &gtsummary.Table{Now: now}
 	self := gtmember.NewRecord(cfg.Node.Instance, cfg.Node.Zone, cfg.HopAddress(), cfg.PeerAddress()).
 		WithBackend(cfg.Backend.Service, cfg.Backend.Version, cfg.Backend.Slots).
 		WithIncarnation(uint64(n.startTime.UnixMilli()))
@@ -284,7 +288,7 @@
 	n.retry = &gtretry.Policy{Now: now}
 	n.outcomes = &gtcanary.OutcomeCounter{OnBatch: n.judges.requestReport}
 	n.outcomes.Restart(uint64(n.startTime.UnixMilli()))
-	n.router = &gtroute.Router{Now: now, Rand: rand.Float64, Zone: cfg.Node.Zone, Instances: n.table.ServiceMembers, MoveShare: n.moves.Share, IsRolledBack: n.moves.IsRolledBack, OnMovePick: n.countMovePick}
+	n.router = &gtroute.Router{Now: now, Rand: rand.Float64, Zone: cfg.Node.Zone, Instances: n.table.ServiceMembers, MoveShare: n.moves.Share, IsRolledBack: n.moves.IsRolledBack, OnMovePick: n.countMovePick, Spare: n.spare}
 	n.hopPool = &gtpool.Pool{Dial: n.dialNode, Now: now, SupportsPing: true, MaxConns: cfg.Backend.MaxConnections}
 	n.backendPool = &gtpool.Pool{
 		Dial: n.dialBackend, Now: now, MaxConns: cfg.Backend.MaxConnections, MaxReuseIdle: time.Duration(cfg.Backend.MaxReuseIdle), IsMismatched: n.IsMismatched,
@@ -318,7 +322,7 @@
 	n.overlay = &gtoverlay.Overlay{
 		Timer: n.timer, Log: n.Log, Cluster: cfg.Node.Cluster, Dial: n.dialNode, Seeds: cfg.Node.Peers,
 		Table: n.table, Holder: n.holder, Moves: n.moves, Crashes: n.crashes,
-		Install: n.installVersion, OnReport: n.judges.addReport, OnHalt: n.logHalt,
+		Install: n.installVersion, OnReport: n.judges.addReport, OnHalt: n.logHalt, Summaries: n.summaries, OnSummary: n.mergeSummary,
 	}
 	n.reporter.log, n.reporter.now, n.reporter.send, n.reporter.spawn = n.Log, n.timer.Time, n.overlay.SendReport, n.wg.Go
 	if n.Heartbeats != nil {
@@ -336,6 +340,7 @@
 	n.wg.Go(func() { n.hopHandler.Run(ctx) })
 	n.wg.Go(func() { n.watchBackend(ctx) })
 	n.wg.Go(func() { n.driveMoves(ctx) })
+	n.wg.Go(func() { n.sendSummaries(ctx) })
 	n.wg.Go(func() { n.expirePeriodically(ctx) })
 	if n.configStore != nil || n.WatchConfig != nil {
 		n.wg.Go(func() { n.watchStore(ctx) })
@@ -356,6 +361,7 @@
 			n.hopPool.CloseExpired()
 			n.backendPool.CloseExpired()
 			n.router.Expire()
+			n.summaries.Expire()
 			n.dedup.Expire()
 			n.requestLog.Flush()
 			n.moves.Prune(n.holder.Current().Config(), gtmember.GoneRetention)
--- a/io/process/gtoverlay/facts.go
+++ b/io/process/gtoverlay/facts.go
@@ -16,16 +16,21 @@
 // Facts is the body of the "facts" message. Version and Checksum identify the
 // active version of the sender; a receiver with a lower version fetches it.
 type Facts struct {
-	Members  []gtwire.Record `json:"m,omitempty"`
-	Moves    []gtwire.Move   `json:"s,omitempty"`
-	Halts    []gtwire.Halt   `json:"h,omitempty"`
-	Crashes  []gtwire.Crash  `json:"c,omitempty"`
-	Version  int64           `json:"v,omitempty"`
-	Checksum string          `json:"vs,omitempty"`
+	Members []gtwire.Record `json:"m,omitempty"`
+	Moves   []gtwire.Move   `json:"s,omitempty"`
+	Halts   []gtwire.Halt   `json:"h,omitempty"`
+	Crashes []gtwire.Crash  `json:"c,omitempty"`
+	// Instances and Zones are summaries of backend servers and of zones, as text. Nodes
+	// without them ignore the fields. They are not kept with the other facts and not
+	// repaired.
+	Instances []string `json:"u,omitempty"`
+	Zones     []string `json:"z,omitempty"`
+	Version   int64    `json:"v,omitempty"`
+	Checksum  string   `json:"vs,omitempty"`
 }
 
 func (f Facts) isEmpty() bool {
-	return len(f.Members)+len(f.Moves)+len(f.Halts)+len(f.Crashes) == 0 && f.Version == 0
+	return len(f.Members)+len(f.Moves)+len(f.Halts)+len(f.Crashes)+len(f.Instances)+len(f.Zones) == 0 && f.Version == 0
 }
 
 func wireRecords(list []gtmember.Record) []gtwire.Record { return gtwire.FromRecords(list) }
@@ -115,7 +120,7 @@
 // mergeFacts merges facts and propagates those that were new to all peers except
 // their sender. If a higher version is named, it is fetched from the sender.
 func (o *Overlay) mergeFacts(f Facts, from *peerLink) error {
-	if len(f.Members) > maxFacts || len(f.Moves) > maxFacts || len(f.Halts) > maxFacts || len(f.Crashes) > maxFacts {
+	if len(f.Instances) > maxFacts || len(f.Zones) > maxFacts || len(f.Members) > maxFacts || len(f.Moves) > maxFacts || len(f.Halts) > maxFacts || len(f.Crashes) > maxFacts {
 		return errorx.IllegalFormat.New("message has too many facts of one kind")
 	}
 	var changes Facts
@@ -144,6 +149,9 @@
 			changes.Crashes = append(changes.Crashes, m)
 		}
 	}
+	if err := o.mergeSummaries(f, from); err != nil {
+		return err
+	}
 	o.propagate(changes, from)
 	if self := o.Table.Self(); self.Incarnation() != before {
 		o.Announce(self)
--- a/io/process/gtoverlay/overlay.go
+++ b/io/process/gtoverlay/overlay.go
@@ -33,6 +33,7 @@
 	"godwittide/core/connection/gtlink"
 	"godwittide/core/process/gtmember"
 	"godwittide/core/process/gtshard"
+	"godwittide/core/process/gtsummary"
 	"godwittide/core/process/gttimer"
 	"godwittide/core/request/gtdedup"
 	"godwittide/core/version/gtcanary"
@@ -93,6 +94,12 @@
 	Holder  *gtdelta.Holder
 	Moves   *gtmove.Table
 	Crashes *gtdedup.Crashes
+	// Summaries holds the summaries of backend servers and zones; nil means that those
+	// of peers are ignored.
+	Summaries *gtsummary.Table
+	// OnSummary is called with each summary of another instance that was new; nil means
+	// that nothing is done.
+	OnSummary func(i gtsummary.Instance)
 	// Install merges a version that a peer sent and makes it the active version.
 	Install func(snapshot gtdelta.Snapshot) error
 	// OnDeparted is called with the process of the local backend server that, as a peer
@@ -104,18 +111,20 @@
 	// OnReport is called with each report that was sent to this node.
 	OnReport func(r gtcanary.Report)
 
-	planner       gtlink.Planner
-	links         gtshard.Map[*peerLink]
-	backoff       gtshard.Map[*retryState]
-	batch         gtshard.Map[pendingRecord]
-	batchReady    chan struct{}
-	syncing       atomic.Bool
-	synced        atomic.Bool
-	lastPause     gttimer.Moment
-	fetches       gtfetch.Fetches
-	bytesSent     atomic.Int64
-	bytesReceived atomic.Int64
-	ctx           context.Context
+	planner        gtlink.Planner
+	links          gtshard.Map[*peerLink]
+	backoff        gtshard.Map[*retryState]
+	batch          gtshard.Map[pendingRecord]
+	batchReady     chan struct{}
+	summaries      gtshard.Map[pendingSummary]
+	summariesReady chan struct{}
+	syncing        atomic.Bool
+	synced         atomic.Bool
+	lastPause      gttimer.Moment
+	fetches        gtfetch.Fetches
+	bytesSent      atomic.Int64
+	bytesReceived  atomic.Int64
+	ctx            context.Context
 
 	closeMu sync.Mutex
 	closed  bool
@@ -154,6 +163,7 @@
 	o.ctx = ctx
 	o.fetches.Now = o.Timer.Time
 	o.batchReady = make(chan struct{}, 1)
+	o.summariesReady = make(chan struct{}, 1)
 	o.planner = gtlink.Planner{Shuffle: rand.Shuffle, ZoneMembers: o.Table.ZoneMembers, ZoneSizes: o.Table.ZoneSizes}
 }
 
@@ -168,6 +178,7 @@
 	var lastSeeded time.Time
 	lastRepair := o.Timer.Time()
 	o.spawn(func() { o.flushBatches(ctx) })
+	o.spawn(func() { o.flushSummaries(ctx) })
 	o.contactSeeds(ctx)
 	for {
 		select {
