gtcapacity: learn at once where nothing shows that requests make calls

A node whose machine has other callers would have learned nothing of its server for a minute and more: the time in calls had to be known to 15% of the server's own time first, and calls of other callers are noise (some 700 requests of a route of 300 ms by the sum in the code's terms). Half of the responses after a cold start are late, which is when speeds are needed.

While the time in calls is not significant, the whole latency counts as the server's own. When that changes, the service time of the route is learned anew.

--- a/core/process/gtcapacity/calls.go
+++ b/core/process/gtcapacity/calls.go
@@ -42,6 +42,21 @@
 	routes map[string]*nested
 }
 
+// Finding is what is known of a backend server's own part of a latency.
+type Finding int
+
+// The findings.
+const (
+	// Unknown means that the part is not known: the calls of the time are not all kept, or
+	// their mean is not known well enough.
+	Unknown Finding = iota
+	// Known means that it is known.
+	Known
+	// Changed means that the route was found to make calls, or to make none, other than
+	// before. What was learned of the route is then wrong.
+	Changed
+)
+
 // call is a call that the node took at its edge and that has ended.
 type call struct{ start, end time.Time }
 
@@ -51,6 +66,8 @@
 	variance float64
 	latency  float64
 	samples  int
+	// makesCalls reports whether the time in calls was significant at the last request.
+	makesCalls bool
 	// interval is the mean time between two requests.
 	interval float64
 	endedAt  time.Time
@@ -65,29 +82,35 @@
 }
 
 // Own returns the part of the latency of a request of a route, which ran from start to
-// end, that is the backend server's own. It is false if that isn't known: too few
-// requests of the route have been compared, or the calls of the time are not all kept.
-func (c *Calls) Own(name string, start, end time.Time) (time.Duration, bool) {
+// end, that is the backend server's own, and what that means. While nothing shows that
+// the requests of the route make calls, it is the whole latency: to wait for certainty
+// takes minutes, and the requests of a route make the same calls on all servers.
+func (c *Calls) Own(name string, start, end time.Time) (time.Duration, Finding) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	latency := end.Sub(start)
 	if latency <= 0 {
-		return 0, false
+		return 0, Unknown
 	}
 	if c.count == 0 {
-		return latency, true
+		return latency, Known
 	}
 	during, before, complete := c.enclosed(start, end)
 	r := c.route(name)
 	if !complete || r == nil {
-		return 0, false
+		return 0, Unknown
 	}
 	r.add((during - before).Seconds(), latency.Seconds(), end)
-	if r.samples < minSamples || !r.precise() {
-		return 0, false
+	nested := r.time()
+	if (nested > 0) != r.makesCalls {
+		r.makesCalls = nested > 0
+		return 0, Changed
+	}
+	if nested > 0 && !r.precise() {
+		return 0, Unknown
 	}
-	own := latency.Seconds() - r.time()
-	return time.Duration(math.Max(own, minOwnPart*latency.Seconds()) * float64(time.Second)), true
+	own := latency.Seconds() - nested
+	return time.Duration(math.Max(own, minOwnPart*latency.Seconds()) * float64(time.Second)), Known
 }
 
 // Nested returns the mean time in calls of a route's requests, or 0 if it is not
@@ -96,7 +119,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.routes[name]
-	if r == nil || r.samples < minSamples {
+	if r == nil {
 		return 0
 	}
 	return time.Duration(r.time() * float64(time.Second))
@@ -171,7 +194,7 @@
 
 // time returns the mean time in calls, or 0 if it is not significant.
 func (r *nested) time() float64 {
-	if r.mean < nestedErrors*r.standardError() || r.mean < minNestedPart*r.latency {
+	if r.samples < minSamples || r.mean < nestedErrors*r.standardError() || r.mean < minNestedPart*r.latency {
 		return 0
 	}
 	return r.mean
--- a/core/process/gtcapacity/calls_test.go
+++ b/core/process/gtcapacity/calls_test.go
@@ -13,8 +13,8 @@
 // simulateCalls runs a server with 20 requests a second of 100 ms of own work, each of
 // which makes a call of the given mean time with the given probability, beside 15 calls
 // a second of other callers through the same node. It returns the mean own latency that
-// is found, and the part of the requests for which there is one.
-func simulateCalls(seed uint64, probability float64, meanCall time.Duration) (own time.Duration, known float64) {
+// is found between two times, and the part of the requests for which there is one.
+func simulateCalls(seed uint64, probability float64, meanCall, from, to time.Duration) (own time.Duration, known float64) {
 	r := rand.New(rand.NewPCG(seed, 9))
 	type event struct {
 		start, end time.Duration
@@ -41,12 +41,12 @@
 			c.Ended(epoch.Add(e.start), epoch.Add(e.end))
 			continue
 		}
-		d, ok := c.Own("a", epoch.Add(e.start), epoch.Add(e.end))
-		if e.start < 3*time.Minute {
+		d, finding := c.Own("a", epoch.Add(e.start), epoch.Add(e.end))
+		if e.start < from || e.end > to {
 			continue
 		}
 		requests++
-		if ok {
+		if finding == Known {
 			sum += d.Seconds()
 			samples++
 		}
@@ -70,7 +70,7 @@
 	}{{0, 0, true}, {1, 100 * time.Millisecond, true}, {1, 300 * time.Millisecond, false}, {0.5, 200 * time.Millisecond, false}} {
 		worst, knownRuns := 0.0, 0
 		for seed := range uint64(seeds) {
-			own, known := simulateCalls(seed, v.probability, v.call)
+			own, known := simulateCalls(seed, v.probability, v.call, 3*time.Minute, 4*time.Minute)
 			if v.mustKnow {
 				g.Expect(known).To(gomega.BeNumerically(">", 0.9), "seed %d, %+v", seed, v)
 			}
@@ -92,6 +92,17 @@
 	for i := range 2 * callMemory {
 		c.Ended(epoch.Add(time.Duration(i)*time.Millisecond), epoch.Add(time.Duration(i+1)*time.Millisecond))
 	}
-	_, ok := c.Own("a", epoch.Add(200*time.Millisecond), epoch.Add(2*callMemory*time.Millisecond))
-	g.Expect(ok).To(gomega.BeFalse())
+	_, finding := c.Own("a", epoch.Add(200*time.Millisecond), epoch.Add(2*callMemory*time.Millisecond))
+	g.Expect(finding).To(gomega.Equal(Unknown))
+}
+
+// Calls of other callers must not delay the learning about requests that make none: after
+// a cold start under load half of the responses were late.
+func TestOwnTimeIsKnownSoonWithoutNestedCalls(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for seed := range uint64(seeds) {
+		own, known := simulateCalls(seed, 0, 0, 0, 10*time.Second)
+		g.Expect(known).To(gomega.BeNumerically(">", 0.9), "seed %d", seed)
+		g.Expect(math.Abs(own.Seconds()/0.1-1)).To(gomega.BeNumerically("<", 0.2), "seed %d: %s", seed, own)
+	}
 }
--- a/core/process/gtcapacity/estimator.go
+++ b/core/process/gtcapacity/estimator.go
@@ -221,6 +221,13 @@
 	return e.changes
 }
 
+// Forget forgets the service time of a route.
+func (e *Estimator) Forget(name string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.routes, name)
+}
+
 // Reset forgets all that was learned. It is called when another process of the backend
 // server has started.
 func (e *Estimator) Reset() {
--- a/core/request/gtroute/estimate.go
+++ b/core/request/gtroute/estimate.go
@@ -183,6 +183,9 @@
 			serviceTime = time.Duration(float64(v.work) / capacity.speedOrOne())
 		}
 	})
+	if serviceTime <= 0 {
+		serviceTime = e.serviceTime
+	}
 	// A service time that is much longer now than it usually is means a slow phase.
 	if float64(e.serviceTime) > slowRatio*float64(serviceTime) {
 		serviceTime = e.serviceTime
--- a/core/request/gtroute/estimate_test.go
+++ b/core/request/gtroute/estimate_test.go
@@ -77,6 +77,22 @@
 	}
 }
 
+// When fast servers are short, less urgent requests must leave them to urgent ones.
+func TestLessUrgentRequestsLeaveFastServersFree(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, load := range []float64{0.5, 0.7} {
+		simulate(g, true, load, nil, func(seed uint64, f *fleet) {
+			var means [3]float64
+			for k := range means {
+				means[k] = f.speeds[k] / float64(f.total[k])
+			}
+			t.Logf("load %.2f, seed %d: mean speed of the servers of urgent, normal and late requests %.2f", load, seed, means)
+			g.Expect(means[0]).To(gomega.BeNumerically(">", means[1]))
+			g.Expect(means[1]).To(gomega.BeNumerically(">", means[2]))
+		})
+	}
+}
+
 // The gain must remain with what nodes can learn in place of what is true, from a cold
 // start on: with noise, servers that slow down when nearly full, and some with disturbances
 // of 300 ms each 2 s at 2.5 times the service time.
--- a/core/request/gtroute/fleet_test.go
+++ b/core/request/gtroute/fleet_test.go
@@ -55,6 +55,7 @@
 	onBegin func(s *simServer)
 
 	inTime, total [3]int
+	speeds        [3]float64 // sum of the speeds of the servers that got the requests
 	refused       int
 	crossZone     int
 	largestUse    float64 // mean over time of the largest share of slots in use
@@ -279,6 +280,7 @@
 	}
 	if f.counts(f.now) {
 		f.total[kind]++
+		f.speeds[kind] += s.speed
 		if zoneName(s.zone) != rt.Zone {
 			f.crossZone++
 		}
--- a/io/process/gtnode/capacity.go
+++ b/io/process/gtnode/capacity.go
@@ -3,14 +3,19 @@
 import (
 	"time"
 
+	"godwittide/core/process/gtcapacity"
 	"godwittide/core/request/gtroute"
 )
 
 // observeServed passes a response of the backend server to the estimator, without the time
 // of calls that the server made through this node.
 func (n *Node) observeServed(route string, concurrency int, start, end time.Time) {
-	if own, known := n.calls.Own(route, start, end); known {
+	switch own, finding := n.calls.Own(route, start, end); finding {
+	case gtcapacity.Known:
 		n.capacity.Observe(route, concurrency, own, end)
+	case gtcapacity.Changed:
+		n.capacity.Forget(route)
+	case gtcapacity.Unknown:
 	}
 }
 
--- a/test/mesh/capacity_test.go
+++ b/test/mesh/capacity_test.go
@@ -85,6 +85,39 @@
 		gomega.Expect(zoneSummaries).To(gomega.BeNumerically(">", 0))
 	})
 
+	it("of a zone is told by other nodes when one that told it is killed", func() {
+		cluster := newCluster()
+		sites := addSites(cluster, 4, gtcluster.SiteSpec{Service: "lending", Version: "1", ServiceTime: 50 * time.Millisecond, Jitter: 0.5}, "z1", "z2")
+		pushConfig(cluster, map[string]string{"10-base.toml": baseConfig})
+		tellers := func() (out []*gtcluster.Site) {
+			before := map[*gtcluster.Site]float64{}
+			for _, s := range cluster.Sites() {
+				if s.Zone() == "z1" && s.Running() {
+					before[s] = metric(s, `summaries{of="zone"}`)
+				}
+			}
+			sleep(10 * time.Second)
+			for s, n := range before {
+				if metric(s, `summaries{of="zone"}`) > n {
+					out = append(out, s)
+				}
+			}
+			return out
+		}
+		load := &gtcluster.Load{Method: "GET", Path: "/lending/holds", Rate: 60, EdgeURLs: edgeURLs(sites[1:2])}
+		results := runLoadDuring(load, func() {
+			sleep(20 * time.Second)
+			first := tellers()
+			gomega.Expect(first).To(gomega.HaveLen(2))
+			cluster.Kill(first[0])
+			sleep(15 * time.Second)
+			next := tellers()
+			gomega.Expect(next).To(gomega.HaveLen(2))
+			gomega.Expect(next).NotTo(gomega.ContainElement(first[0]))
+		})
+		gomega.Expect(float64(countOutcomes(results)["ok"])).To(gomega.BeNumerically(">", 0.99*float64(len(results))))
+	})
+
 	it("is not told where the setting is off", func() {
 		cluster := newCluster()
 		spec := lendingSpec
