gtroute: the choice by estimate costs less

The instances were gone through twice, each estimate read the clock and looked three times into maps, and four samples of other zones gained nothing over three.

The eligible instances are split by zone as they are found, the clock is read once, and round trips stand with the zones.

A test guards against a split that is kept for another version of the same size; it fails with such a split.

--- a/core/request/gtroute/estimate.go
+++ b/core/request/gtroute/estimate.go
@@ -10,7 +10,7 @@
 const (
 	// localSamples and remoteSamples are the numbers of random instances that are
 	// compared in the local zone and in the others.
-	localSamples, remoteSamples = 5, 4
+	localSamples, remoteSamples = 5, 3
 	// defaultTargetFactor gives the target of a request without one, as a multiple of
 	// the service time at speed 1.
 	defaultTargetFactor = 3.0
@@ -30,6 +30,8 @@
 	// minVariance is the variance of the number of requests ahead for a new report.
 	// Requests of other nodes are on their way.
 	minVariance = 0.3
+	// negligible is the probability of meeting no free slot below which it is neglected.
+	negligible = 0.001
 	// crossZoneCost is the cost of an instance in another zone: bytes between zones cost.
 	crossZoneCost = 0.01
 	// explorePart is the part of the requests that go to one of two random instances
@@ -68,11 +70,12 @@
 // random ones at which the request is most likely in time for its target, at a cost for
 // those that are much in use. Otherwise it is chosen by load.
 func (rt *Router) choose(buf *buffers, q Query) candidate {
-	v := rt.view(buf.list, q)
-	if !v.mixed && !v.isShort(rt.Now()) || rt.Rand() < explorePart {
+	now := rt.Now()
+	v := rt.view(buf.list, q, now)
+	if !v.mixed && !v.isShort(now) || rt.Rand() < explorePart {
 		return rt.chooseByLoad(buf, q)
 	}
-	best, ok := rt.bestOf(buf, q, v)
+	best, ok := rt.bestOf(buf, q, v, now)
 	if !ok {
 		return rt.chooseByLoad(buf, q)
 	}
@@ -97,13 +100,13 @@
 // bestOf returns the best of a few random instances, and false if the choice by load
 // decides: all are ejected or failing, or they are in full use and the summaries tell of
 // no other zone.
-func (rt *Router) bestOf(buf *buffers, q Query, v *view) (estimate, bool) {
+func (rt *Router) bestOf(buf *buffers, q Query, v *view, now time.Time) (estimate, bool) {
 	var samples [localSamples + remoteSamples]estimate
 	list := samples[:0]
 	for i := range min(localSamples, len(buf.local)) {
-		list = append(list, rt.estimate(rt.sample(buf.local, i), false, q, v))
+		list = append(list, rt.estimate(rt.sample(buf.local, i), false, q, v, now))
 	}
-	list = rt.addRemote(list, buf.remote, len(buf.local) == 0, q, v)
+	list = rt.addRemote(list, buf.remote, len(buf.local) == 0, q, v, now)
 	leastErrors := 1.0
 	for i := range list {
 		leastErrors = min(leastErrors, list[i].errorRate)
@@ -122,7 +125,7 @@
 			best, least = e, cost
 		}
 	}
-	if best == nil || len(buf.local) > 0 && best.load >= fullLoad && !v.hasZone(rt.Now()) {
+	if best == nil || len(buf.local) > 0 && best.load >= fullLoad && !v.hasZone(now) {
 		return estimate{}, false
 	}
 	return *best, true
@@ -139,32 +142,31 @@
 // addRemote adds up to remoteSamples random instances of other zones, as many of each as
 // is in proportion to its spare capacity. Zones without a valid summary are left out,
 // unless there is no local instance.
-func (rt *Router) addRemote(out []estimate, list refs, all bool, q Query, v *view) []estimate {
-	now := rt.Now()
+func (rt *Router) addRemote(out []estimate, list refs, all bool, q Query, v *view, now time.Time) []estimate {
 	if !all && !v.hasZone(now) {
 		return out
 	}
 	added := 0
 	for i := 0; i < min(maxRemoteDraws, len(list)) && added < remoteSamples; i++ {
 		r := rt.sample(list, i)
-		spare, ok := v.zone(r.Zone(), now)
-		if !ok && !all || ok && rt.Rand()*v.maxSpare > spare.spare {
+		spare := v.zone(r.Zone()).spare
+		valid := spare.isValid(now)
+		if !valid && !all || valid && rt.Rand()*v.maxSpare > spare.spare {
 			continue
 		}
-		out = append(out, rt.estimate(r, !all, q, v))
+		out = append(out, rt.estimate(r, !all, q, v, now))
 		added++
 	}
 	return out
 }
 
 // estimate returns an instance with the estimate for a request.
-func (rt *Router) estimate(r *gtmember.Record, remote bool, q Query, v *view) estimate {
-	now := rt.Now()
+func (rt *Router) estimate(r *gtmember.Record, remote bool, q Query, v *view, now time.Time) estimate {
 	e := estimate{candidate: candidate{record: r}, remote: remote, newcomer: true}
 	serviceTime := v.work
-	limit, meanUse := float64(r.Slots()), v.use
-	if s, ok := v.zone(r.Zone(), now); ok {
-		meanUse = s.use()
+	limit, meanUse, zone := float64(r.Slots()), v.use, v.zone(r.Zone())
+	if zone.spare.isValid(now) {
+		meanUse = zone.spare.use()
 	}
 	busy, variance := meanUse*limit, meanUse*limit
 	capacity := Capacity{}
@@ -173,11 +175,11 @@
 		if p == nil {
 			return
 		}
-		e.describe(p, q.route, now)
+		learned := e.describe(p, q.route, now)
 		e.newcomer = !p.capacity.IsKnown() && p.inflight == 0
 		capacity = p.capacity
 		busy, variance, limit = p.ahead(meanUse, limit, now)
-		if learned := p.serviceTimes[q.route].learned; learned > 0 {
+		if learned > 0 {
 			serviceTime = learned
 		} else {
 			serviceTime = time.Duration(float64(v.work) / capacity.speedOrOne())
@@ -195,7 +197,7 @@
 	if target == 0 {
 		target = time.Duration(defaultTargetFactor * float64(v.work))
 	}
-	e.late, e.full = lateness(serviceTime.Seconds(), busy, variance, limit, capacity, (target - v.roundTrips[r.Zone()]).Seconds())
+	e.late, e.full = lateness(serviceTime.Seconds(), busy, variance, limit, capacity, (target - zone.roundTrip).Seconds())
 	return e
 }
 
@@ -232,7 +234,10 @@
 		serviceTime *= 1 + c.slowdown*max(0, min(busy+1, limit)-c.concurrency)
 	}
 	wait := (1 + max(0, busy-limit)) * serviceTime / limit
-	late = (1-full)*tail(target/serviceTime) + full*tail((target-wait)/serviceTime)
+	late = tail(target / serviceTime)
+	if full >= negligible {
+		late = (1-full)*late + full*tail((target-wait)/serviceTime)
+	}
 	return late, full
 }
 
--- a/core/request/gtroute/load.go
+++ b/core/request/gtroute/load.go
@@ -328,8 +328,9 @@
 	return c
 }
 
-// describe sets what is known of the instance.
-func (c *candidate) describe(p *peer, route string, now time.Time) {
+// describe sets what is known of the instance, and returns the learned service time of the
+// route, or 0.
+func (c *candidate) describe(p *peer, route string, now time.Time) time.Duration {
 	limit := c.record.Slots()
 	busy := p.inflight
 	if p.load.limit > 0 && now.Sub(p.loadAt) < loadTTL {
@@ -342,9 +343,11 @@
 		c.load += ejectedLoad
 		c.probing = p.unreachable && p.inflight > 0
 	}
-	if st, ok := p.serviceTimes[route]; ok && now.Sub(st.reportedAt) < serviceTimeTTL {
+	st := p.serviceTimes[route]
+	if now.Sub(st.reportedAt) < serviceTimeTTL {
 		c.serviceTime = st.value
 	}
+	return st.learned
 }
 
 // Report stores what a summary tells of an instance: the capacity and, as the load, the
--- a/core/request/gtroute/move_test.go
+++ b/core/request/gtroute/move_test.go
@@ -228,3 +228,21 @@
 		g.Expect(to.Version()).To(gomega.Equal("2"))
 	}
 }
+
+// A request that falls back from the new version to the old one must get an instance of the
+// old one, also if both have as many instances: the lists of one choice share their memory.
+func TestFallbackGoesToTheOtherVersion(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := newMoveRouter(g, 1, 3, 3)
+	m.share = 1
+	for i := 3; i < 6; i++ {
+		m.Begin(m.instances[i].Instance())
+		m.End(m.instances[i].Instance(), "r", gtkind.Refused, Load{})
+		m.Begin(m.instances[i].Instance()) // probes it, so that the new version refuses others
+	}
+	for range 20 {
+		to, err := m.Pick(m.cfg, NewQuery("s"))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(to.Version()).To(gomega.Equal("1"))
+	}
+}
--- a/core/request/gtroute/route.go
+++ b/core/request/gtroute/route.go
@@ -154,7 +154,7 @@
 	}
 	buf := buffersPool.Get().(*buffers)
 	defer buf.release()
-	buf.addEligible(cfg, rt.Instances(q.service), q)
+	buf.addEligible(cfg, rt.Instances(q.service), rt.Zone, q)
 	if len(buf.eligible) == 0 {
 		return gtmember.Record{}, Drawn, gtkind.New(gtkind.NoBackend, "service %q has no ready backend server", q.service)
 	}
--- a/core/request/gtroute/view.go
+++ b/core/request/gtroute/view.go
@@ -37,12 +37,10 @@
 	use float64
 	// localUse is the same in the local zone.
 	localUse float64
-	// zones are the other zones with a valid summary. The slice is not changed.
+	// zones are all zones with instances of the service. The slice is not changed.
 	zones []zoneView
 	// maxSpare is the largest spare capacity of these zones.
 	maxSpare float64
-	// roundTrips holds the measured round trip to each zone.
-	roundTrips map[string]time.Duration
 }
 
 // Spare is the spare capacity of a service in another zone, as a summary tells it.
@@ -57,26 +55,31 @@
 	return Spare{spare: spare, capacity: capacity, validUntil: validUntil}
 }
 
-// zoneView is a zone with the spare capacity of the service there.
+// zoneView is a zone with the spare capacity of the service there, if there is a summary,
+// and the measured round trip.
 type zoneView struct {
-	zone  string
-	spare Spare
+	zone      string
+	spare     Spare
+	roundTrip time.Duration
 }
 
-// zone returns the summary of a zone, and false if there is no valid one.
-func (v *view) zone(name string, now time.Time) (Spare, bool) {
-	for _, z := range v.zones {
-		if z.zone == name {
-			return z.spare, now.Before(z.spare.validUntil)
+// zone returns what is known of a zone.
+func (v *view) zone(name string) zoneView {
+	for i := range v.zones {
+		if v.zones[i].zone == name {
+			return v.zones[i]
 		}
 	}
-	return Spare{}, false
+	return zoneView{}
 }
 
+// isValid reports whether there is a spare capacity that may be used.
+func (s Spare) isValid(now time.Time) bool { return now.Before(s.validUntil) }
+
 // hasZone reports whether there is a valid summary of another zone.
 func (v *view) hasZone(now time.Time) bool {
 	for _, z := range v.zones {
-		if now.Before(z.spare.validUntil) {
+		if z.spare.isValid(now) {
 			return true
 		}
 	}
@@ -92,7 +95,7 @@
 		return false
 	}
 	for _, z := range v.zones {
-		if now.Before(z.spare.validUntil) && z.spare.use() < v.localUse-minUseGain {
+		if z.spare.isValid(now) && z.spare.use() < v.localUse-minUseGain {
 			return true
 		}
 	}
@@ -102,8 +105,7 @@
 // view returns what is known of the service and route of a query, from the instances in
 // list. It is computed at most once in viewPeriod, and not from the few instances that
 // are left for a retry.
-func (rt *Router) view(list refs, q Query) *view {
-	now := rt.Now()
+func (rt *Router) view(list refs, q Query, now time.Time) *view {
 	var v *view
 	rt.views.Do(q.route, func(m map[string]map[string]*view) {
 		if v = m[q.route][q.service]; v != nil {
@@ -125,7 +127,7 @@
 
 // newView computes the view of the instances in list.
 func (rt *Router) newView(list refs, q Query, now time.Time) *view {
-	v := &view{at: now, usedAt: now, roundTrips: map[string]time.Duration{}}
+	v := &view{at: now, usedAt: now}
 	slowest, fastest := 0.0, 0.0
 	var work, use, works, uses, localUse, localUses float64
 	slots := map[string]float64{}
@@ -170,19 +172,20 @@
 	return v
 }
 
-// addZones adds the summaries of the other zones that are in slots, the number of slots by
-// zone. It leaves out those that can't be right.
+// addZones adds the zones in slots, the number of slots by zone, with their summaries. It
+// leaves out summaries that can't be right.
 func (rt *Router) addZones(v *view, service string, slots map[string]float64) {
 	for zone, n := range slots {
-		v.roundTrips[zone], _ = rt.roundTrips.Get(zone)
-		if zone == rt.Zone || rt.Spare == nil {
-			continue
-		}
-		s, ok := rt.Spare(service, zone)
-		if ok && s.capacity > 0 && s.capacity <= maxZoneSlots*n && s.spare >= 0 && s.spare <= s.capacity {
-			v.zones = append(v.zones, zoneView{zone, s})
-			v.maxSpare = max(v.maxSpare, s.spare)
+		z := zoneView{zone: zone}
+		z.roundTrip, _ = rt.roundTrips.Get(zone)
+		if zone != rt.Zone && rt.Spare != nil {
+			s, ok := rt.Spare(service, zone)
+			if ok && s.capacity > 0 && s.capacity <= maxZoneSlots*n && s.spare >= 0 && s.spare <= s.capacity {
+				z.spare = s
+				v.maxSpare = max(v.maxSpare, s.spare)
+			}
 		}
+		v.zones = append(v.zones, z)
 	}
 }
 
