--- a/core/version/gtconfig/config.go
+++ b/core/version/gtconfig/config.go
@@ -107,6 +107,7 @@
 	open         bool
 	maxAttempts  int
 	timeout      time.Duration
+	target       time.Duration
 }
 
 // rankStep is a condition on an account's priority: it is above limit, or equal to
@@ -185,6 +186,10 @@
 // Timeout returns the timeout of a call, or 0 if the service's timeout applies.
 func (r Route) Timeout() time.Duration { return r.timeout }
 
+// Target returns the latency up to which a response has its full value to the
+// caller, or 0 if the configuration sets none.
+func (r Route) Target() time.Duration { return r.target }
+
 // Idempotent reports whether a request on the route with the given method is
 // idempotent.
 func (r Route) Idempotent(method string) bool {
@@ -339,6 +344,9 @@
 // IsZoneDrained reports whether operators have drained the availability zone.
 func (c *Config) IsZoneDrained(zone string) bool { return c.drainedZones[zone] }
 
+// HasDrainedZones reports whether operators have drained any availability zone.
+func (c *Config) HasDrainedZones() bool { return len(c.drainedZones) > 0 }
+
 // Match returns the most specific route for a request, and false if none
 // applies. The longest path wins, then a route that names the host, then one
 // that names the method.
--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -27,10 +27,12 @@
 	"github.com/uber-go/tally/v4"
 
 	"godwittide/core/process/gtaccountstats"
+	"godwittide/core/process/gtcapacity"
 	"godwittide/core/process/gtdrain"
 	"godwittide/core/process/gtheartbeat"
 	"godwittide/core/process/gtmember"
 	"godwittide/core/process/gtstandin"
+	"godwittide/core/process/gtsummary"
 	"godwittide/core/process/gttimer"
 	"godwittide/core/request/gtadmission"
 	"godwittide/core/request/gtdedup"
@@ -130,6 +132,9 @@
 	overlay     *gtoverlay.Overlay
 
 	gate         *gtadmission.Gate
+	capacity     *gtcapacity.Estimator
+	calls        *gtcapacity.Calls
+	summaries    *gtsummary.Table
 	dedup        *gtdedup.Keys
 	retry        *gtretry.Policy
 	router       *gtroute.Router
@@ -145,6 +150,7 @@
 	syncedAt       gttimer.Moment   // when knowsFleet first found that the overlay has synced
 	judges         judges
 	reporter       reporter
+	summarizer     summarizer
 	omissions      omissions
 	accounts       gtaccountstats.Stats
 	servers        servers
@@ -267,6 +273,7 @@
 	n.holder = &gtdelta.Holder{Now: now}
 	n.moves = &gtmove.Table{Now: now}
 	n.crashes = &gtdedup.Crashes{Now: now}
+	n.summaries = &gtsummary.Table{Now: now}
 	self := gtmember.NewRecord(cfg.Node.Instance, cfg.Node.Zone, cfg.HopAddress(), cfg.PeerAddress()).
 		WithBackend(cfg.Backend.Service, cfg.Backend.Version, cfg.Backend.Slots).
 		WithIncarnation(uint64(n.startTime.UnixMilli()))
@@ -295,12 +302,13 @@
 	n.metrics = gtmetric.New()
 	n.scope = n.metrics.Scope()
 	n.gate = &gtadmission.Gate{Now: now, Slots: cfg.Backend.Slots, Fixed: cfg.Backend.FixedLimit, PausedSince: n.timer.PausedSince}
+	n.capacity, n.calls = &gtcapacity.Estimator{PausedSince: n.timer.PausedSince}, &gtcapacity.Calls{}
 	n.dedup = &gtdedup.Keys{Now: now}
 	split := &gtsplit.Split{Rand: rand.Float64}
 	n.retry = &gtretry.Policy{Now: now}
 	n.outcomes = &gtcanary.OutcomeCounter{OnBatch: n.judges.requestReport}
 	n.outcomes.Restart(uint64(n.startTime.UnixMilli()))
-	n.router = &gtroute.Router{Now: now, Rand: rand.Float64, Zone: cfg.Node.Zone, Instances: n.table.ServiceMembers, MoveShare: n.moves.Share, IsRolledBack: n.moves.IsRolledBack, OnMovePick: n.countMovePick}
+	n.router = &gtroute.Router{Now: now, Rand: rand.Float64, Zone: cfg.Node.Zone, Instances: n.table.ServiceMembers, MoveShare: n.moves.Share, IsRolledBack: n.moves.IsRolledBack, OnMovePick: n.countMovePick, Spare: n.spare}
 	n.hopPool = &gtpool.Pool{Dial: n.dialNode, Now: now, SupportsPing: true, MaxConns: cfg.Backend.MaxConnections}
 	n.backendPool = &gtpool.Pool{
 		Dial: n.dialBackend, Now: now, MaxConns: cfg.Backend.MaxConnections, MaxReuseIdle: time.Duration(cfg.Backend.MaxReuseIdle), IsMismatched: n.IsMismatched,
@@ -315,6 +323,9 @@
 	if n.Heartbeats != nil {
 		n.localBackend.WarmUpEnd = n.backend.warmUpEndTime
 	}
+	if cfg.Backend.Learn {
+		n.localBackend.Learned, n.localBackend.OnServed = n.learnedCapacity, n.observeServed
+	}
 	n.hopHandler = &gthop.Handler{LocalBackend: n.localBackend, Timer: n.timer, MaxBodyBytes: cfg.Limit.MaxBodyBytes, OnPanic: n.recordPanic, PausedSince: n.timer.PausedSince, Requests: n.requests}
 	client := &gthop.Client{Now: now, Pool: n.hopPool, Dialect: n.Dialect, MaxBufferBytes: cfg.Limit.MaxBufferBytes, Trace: n.tracer.Start}
 	n.edge = &gtedge.Edge{
@@ -331,7 +342,7 @@
 	n.overlay = &gtoverlay.Overlay{
 		Timer: n.timer, Log: n.Log, Cluster: cfg.Node.Cluster, Dial: n.dialNode, Seeds: cfg.Node.Peers,
 		Table: n.table, Holder: n.holder, Moves: n.moves, Crashes: n.crashes,
-		Install: n.installVersion, OnReport: n.judges.addReport, OnHalt: n.logHalt, OnWatching: n.noteWatching,
+		Install: n.installVersion, OnReport: n.judges.addReport, OnHalt: n.logHalt, OnWatching: n.noteWatching, Summaries: n.summaries, OnSummary: n.mergeSummary,
 	}
 	n.reporter.log, n.reporter.now, n.reporter.send, n.reporter.spawn = n.Log, n.timer.Time, n.overlay.SendReport, n.wg.Go
 	if n.Heartbeats != nil {
@@ -352,6 +363,7 @@
 	if n.duties != nil {
 		n.wg.Go(func() { n.duties.Run(ctx) })
 	}
+	n.wg.Go(func() { n.sendSummaries(ctx) })
 	n.wg.Go(func() { n.expirePeriodically(ctx) })
 	if n.configStore != nil || n.WatchConfig != nil {
 		n.wg.Go(func() { n.watchStore(ctx) })
@@ -372,6 +384,7 @@
 			n.hopPool.CloseExpired()
 			n.backendPool.CloseExpired()
 			n.router.Expire()
+			n.summaries.Expire()
 			n.dedup.Expire()
 			n.requestLog.Flush()
 			n.moves.Prune(n.holder.Current().Config(), gtmember.GoneRetention)
