--- a/io/process/gtnode/duties.go
+++ b/io/process/gtnode/duties.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"godwittide/core/process/gtduty"
 	"godwittide/core/process/gtmember"
 	"godwittide/core/process/gtusage"
@@ -23,24 +21,12 @@
 	usageFlushTime = 300 * time.Millisecond
 )
 
-// bootTime returns the time since the machine was started, suspensions included.
-func bootTime() time.Duration {
-	var ts unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		return 0
-	}
-	return time.Duration(ts.Nano())
-}
-
 // buildDuties creates the duties, if there is an address to report to and a store.
 func (n *Node) buildDuties() {
 	cfg := n.Settings.Duty
 	if cfg.Address == "" || n.Store == nil {
 		return
 	}
-	if n.Uptime == nil {
-		n.Uptime = bootTime
-	}
 	if n.Wall == nil {
 		n.Wall = time.Now
 	}
@@ -52,7 +38,7 @@
 	}
 	terms := gtduty.NewTerms(time.Duration(cfg.Lease), cfg.Fenced)
 	n.duties = &gtduties.Duties{
-		Timer: n.timer, Wall: n.Wall, Uptime: n.Uptime, Log: n.Log, Scope: n.scope,
+		Timer: n.timer, Wall: n.Wall, Uptime: n.SinceBootTime, Log: n.Log, Scope: n.scope,
 		Self: n.Settings.Node.Instance, Start: n.startTime.UnixMilli(), Terms: terms,
 		Timing: gtusage.NewTiming(gtusage.NewWindows(time.Duration(cfg.Window)), time.Duration(cfg.Late), terms.Takeover()),
 		Store:  n.Store, Prefix: n.Settings.Store.Prefix, Rate: cfg.Rate, Call: report,
