--- a/io/process/gtnode/pipeline_test.go
+++ b/io/process/gtnode/pipeline_test.go
@@ -196,3 +196,14 @@
 	close(s.slow)
 	g.Eventually(s.left.Load, "10s").Should(gomega.Equal(int64(2)))
 }
+
+// The metrics tell whether callers send ahead at all, and whether they reach the bound.
+func TestPipelinesCountsRequestsAndDepth(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var p pipelines
+	for _, depth := range []int{2, 5, 3} {
+		p.recordRequest(depth)
+	}
+	g.Expect(p.requests.Load()).To(gomega.Equal(int64(3)))
+	g.Expect(p.deepest.Load()).To(gomega.Equal(int64(5)))
+}
