--- a/core/process/gtusage/ledger.go
+++ b/core/process/gtusage/ledger.go
@@ -59,11 +59,13 @@
 	Lose
 )
 
-// Action is what the holder does next, with a window.
+// Action is what the holder does next, with a window, or, to give them up, with several.
 type Action struct {
 	kind   ActionKind
 	window int64
-	reason string
+	// through is the last of the windows that are given up.
+	through int64
+	reason  string
 }
 
 // Kind returns the kind of the action.
@@ -72,6 +74,9 @@
 // Window returns the number of the window.
 func (a Action) Window() int64 { return a.window }
 
+// Through returns the last window that is given up.
+func (a Action) Through() int64 { return a.through }
+
 // Reason returns why a window is given up.
 func (a Action) Reason() string { return a.reason }
 
@@ -139,7 +144,7 @@
 	due := l.last + 1
 	if _, ok := l.stored[due]; ok {
 		if len(l.stored) > maxBacklog {
-			return Action{kind: Lose, window: due, reason: "too many windows wait for the duty address"}
+			return Action{kind: Lose, window: due, through: due, reason: "too many windows wait for the duty address"}
 		}
 		if mayCall && !now.Before(l.nextCall) {
 			return Action{kind: Call, window: due}
@@ -155,7 +160,7 @@
 		return Action{}
 	case since > l.Timing.Retention():
 		if k == due {
-			return Action{kind: Lose, window: k, reason: "no holder of the duty in time"}
+			return Action{kind: Lose, window: k, through: l.lastExpired(k, now), reason: "no holder of the duty in time"}
 		}
 		return Action{}
 	case since < l.Timing.CloseDelay() && len(l.Pending(k)) > 0:
@@ -163,7 +168,7 @@
 	case k >= l.first && l.first > 0 || l.IsKnown(k):
 		return Action{kind: Close, window: k}
 	case k == due:
-		return Action{kind: Lose, window: k, reason: "counts were lost: all candidates have started since"}
+		return Action{kind: Lose, window: k, through: k, reason: "counts were lost: all candidates have started since"}
 	default:
 		return Action{}
 	}
@@ -182,8 +187,25 @@
 	l.settle(window)
 }
 
-// Lost records that a window is given up.
-func (l *Ledger) Lost(window int64) { l.settle(window) }
+// Lost records that windows are given up.
+func (l *Ledger) Lost(a Action) {
+	if a.through > a.window && a.window == l.last+1 {
+		l.last = a.through - 1 // none of these is stored
+	}
+	l.settle(a.through)
+}
+
+// lastExpired returns the last of the windows from k on that are too old to be counted
+// and aren't stored. After a long time without a holder they are given up together.
+func (l *Ledger) lastExpired(k int64, now time.Time) int64 {
+	through := max(k, l.Timing.windows.At(now.Add(-l.Timing.Retention()))-1)
+	for stored := range l.stored {
+		if stored > k {
+			through = min(through, stored-1)
+		}
+	}
+	return through
+}
 
 // settle moves last on to the window, which is the one after it.
 func (l *Ledger) settle(window int64) {
--- a/core/process/gtusage/usage_test.go
+++ b/core/process/gtusage/usage_test.go
@@ -247,7 +247,7 @@
 	l.Load(9, true, nil, 12)
 	now := l.Timing.Windows().End(11).Add(time.Second)
 	g.Expect(l.Next(now, true).Kind()).To(gomega.Equal(Lose))
-	l.Lost(10)
+	l.Lost(l.Next(now, true))
 	g.Expect(l.Next(now, true).Window()).To(gomega.Equal(int64(11)))
 	l = newLedger(&pending, &known)
 	l.Load(0, false, nil, 11)
@@ -255,6 +255,28 @@
 	g.Expect(l.Next(now.Add(time.Hour), true).Kind()).To(gomega.Equal(Lose))
 }
 
+// Guards against thousands of log lines after a long time without a holder, and against
+// stored windows that are given up with those between.
+func TestLedgerGivesUpExpiredWindowsTogether(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var pending []string
+	known := true
+	l := newLedger(&pending, &known)
+	l.Load(9, true, map[int64]map[string]int{500: {"x": 1}}, 0)
+	now := l.Timing.Windows().End(1000).Add(2 * time.Second)
+	a := l.Next(now, true)
+	g.Expect([]any{a.Kind(), a.Window(), a.Through()}).To(gomega.Equal([]any{Lose, int64(10), int64(499)}))
+	l.Lost(a)
+	g.Expect(l.Next(now, true)).To(gomega.Equal(Action{kind: Call, window: 500}))
+	l.Acked(500)
+	a = l.Next(now, true)
+	g.Expect([]any{a.Kind(), a.Window()}).To(gomega.Equal([]any{Lose, int64(501)}))
+	g.Expect(now.Sub(l.Timing.Windows().End(a.Through()))).To(gomega.BeNumerically(">", l.Timing.Retention()))
+	g.Expect(now.Sub(l.Timing.Windows().End(a.Through() + 1))).To(gomega.BeNumerically("<=", l.Timing.Retention()))
+	l.Lost(a)
+	g.Expect(l.Next(now, true)).To(gomega.Equal(Action{kind: Close, window: a.Through() + 1}))
+}
+
 // Guards against a new holder that sends a window anew whose report it has not seen.
 func TestLedgerKeepsStoredCounts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -293,7 +315,7 @@
 					l.Failed(now)
 				}
 			case Lose:
-				l.Lost(a.Window())
+				l.Lost(a)
 			case Wait:
 			}
 			if rapid.IntRange(0, 5).Draw(t, "holder") == 0 {
--- a/io/process/gtduties/holder.go
+++ b/io/process/gtduties/holder.go
@@ -309,12 +309,13 @@
 	return err == nil
 }
 
-// lose gives up a window.
+// lose gives up windows.
 func (w *worker) lose(a gtusage.Action) {
-	w.ledger.Lost(a.Window())
-	w.lost.Add(1)
-	w.Scope.Counter("usage_windows_lost").Inc(1)
-	w.Log.Warn().Int64("window", a.Window()).Str("why", a.Reason()).Msg("usage: window given up")
+	w.ledger.Lost(a)
+	n := a.Through() - a.Window() + 1
+	w.lost.Add(uint64(n))
+	w.Scope.Counter("usage_windows_lost").Inc(n)
+	w.Log.Warn().Int64("window", a.Window()).Int64("windows", n).Str("why", a.Reason()).Msg("usage: window given up")
 }
 
 // resign gives the duty up, so that another candidate takes it at once.
