test/untrusted: callers that are not trusted, before the fix

A crowd of 60 connections to one node process sends heads over the limit and without end, empty lines without end, and bodies of 4 MB (limit.body) with a length or chunked, of which 9 in 10 stop one byte short of the end and stay open. The bound of the peak of the resident memory is the budget of the settings (32 MB), as much again for garbage, 32 MB for the program and 128 KB for each connection: 103.5 MB.

--- /dev/null
+++ b/test/untrusted/untrusted_test.go
@@ -0,0 +1,137 @@
+package untrusted
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// crowdTime bounds how long a connection of the crowd goes on sending. The node is checked
+// after that, while all connections stay open as far as the node leaves them.
+const crowdTime = 4 * time.Second
+
+// runCrowd opens the connections of the crowd, on each of which send writes until it is done,
+// fails or crowdTime has passed. They stay open until the end of the test.
+func runCrowd(t *testing.T, addr string, send func(i int, w io.Writer) error) {
+	t.Helper()
+	var wg sync.WaitGroup
+	for i := range connections {
+		conn, err := net.DialTimeout("tcp", addr, waitTime)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		_ = conn.SetWriteDeadline(time.Now().Add(crowdTime))
+		wg.Go(func() { _ = send(i, conn) })
+	}
+	wg.Wait()
+}
+
+// repeat writes b up to the given number of times.
+func repeat(w io.Writer, b []byte, times int) error {
+	for range times {
+		if _, err := w.Write(b); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+const post = "POST /lending/x HTTP/1.1\r\nHost: node\r\n"
+
+// Guards against heads that take memory without a bound, on each listener for HTTP.
+func TestHeads(t *testing.T) {
+	n := startNode(t)
+	for _, addr := range []string{n.edge, n.hop, n.admin, n.peer} {
+		t.Run(addrName(n, addr)+" over the limit", func(t *testing.T) {
+			runCrowd(t, addr, func(_ int, w io.Writer) error {
+				_, err := io.WriteString(w, "GET /lending/x HTTP/1.1\r\nHost: node\r\nX-Long: "+strings.Repeat("a", 1<<20)+"\r\n\r\n")
+				return err
+			})
+			n.check(t)
+		})
+		t.Run(addrName(n, addr)+" without end", func(t *testing.T) {
+			line := []byte(strings.Repeat("X-Line: a\r\n", 400))
+			runCrowd(t, addr, func(_ int, w io.Writer) error {
+				if _, err := io.WriteString(w, "GET /lending/x HTTP/1.1\r\nHost: node\r\n"); err != nil {
+					return err
+				}
+				return repeat(w, line, 2000)
+			})
+			n.check(t)
+		})
+	}
+}
+
+// Guards against empty lines that keep a connection busy without a bound.
+func TestEmptyLines(t *testing.T) {
+	n := startNode(t)
+	for _, addr := range []string{n.edge, n.hop, n.admin, n.peer} {
+		t.Run(addrName(n, addr), func(t *testing.T) {
+			lines := bytes.Repeat([]byte("\r\n"), 2000)
+			runCrowd(t, addr, func(_ int, w io.Writer) error { return repeat(w, lines, 2000) })
+			n.check(t)
+		})
+	}
+}
+
+func addrName(n node, addr string) string {
+	return map[string]string{n.edge: "edge", n.hop: "hop", n.peer: "peer", n.admin: "admin"}[addr]
+}
+
+// sendBody sends a body of the limit's size in writes of the given size, each framed by
+// frame. All but each tenth connection stop one byte short of the end.
+func sendBody(i int, w io.Writer, size int, frame func([]byte) []byte, end string) error {
+	left := bodyBytes
+	if i%10 != 0 {
+		left, end = left-1, ""
+	}
+	for ; left > 0; left -= size {
+		if _, err := w.Write(frame(make([]byte, min(size, left)))); err != nil {
+			return err
+		}
+	}
+	_, err := io.WriteString(w, end)
+	return err
+}
+
+func plain(b []byte) []byte { return b }
+
+func chunk(b []byte) []byte { return fmt.Appendf(nil, "%x\r\n%s\r\n", len(b), b) }
+
+// Guards against bodies of legal size with a length that take memory for each connection.
+func TestBodiesWithLength(t *testing.T) {
+	for name, size := range map[string]int{"whole": bodyBytes, "piece by piece": 8 << 10} {
+		t.Run(name, func(t *testing.T) {
+			n := startNode(t)
+			runCrowd(t, n.edge, func(i int, w io.Writer) error {
+				if _, err := fmt.Fprintf(w, "%sContent-Length: %d\r\n\r\n", post, bodyBytes); err != nil {
+					return err
+				}
+				return sendBody(i, w, size, plain, "")
+			})
+			n.check(t)
+		})
+	}
+}
+
+// Guards against chunked bodies of legal size that take memory for each connection.
+func TestChunkedBodies(t *testing.T) {
+	for name, size := range map[string]int{"large chunks": 1 << 20, "tiny chunks": 1} {
+		t.Run(name, func(t *testing.T) {
+			n := startNode(t)
+			runCrowd(t, n.edge, func(i int, w io.Writer) error {
+				if _, err := io.WriteString(w, post+"Transfer-Encoding: chunked\r\n\r\n"); err != nil {
+					return err
+				}
+				return sendBody(i, w, size, chunk, "0\r\n\r\n")
+			})
+			n.check(t)
+		})
+	}
+}
