gthop, gtnode: bodies and responses count in one budget of bytes

Callers that stopped one byte short of the end of a body of 4 MB took 383 MB with 60 connections. Cause: ReadBody read each body whole, into buffers that doubled, without a bound on the sum; the fingerprint copied it twice more. A response of more than limit.buffer held its slot for as long as its caller read nothing, so that an ordinary GET got 504.

Bodies are now read in segments, each reserved in gtbudget before it is read. One that finds no room waits 2 s with its socket unread and then gets 503 full, not run, as does one that is dropped. Streams are read ahead of the caller within a quarter of the budget; a caller that takes less than 4 KB in a second, while its spool is full or memory is short, is disconnected.

decodeCall takes the body in segments, and its test passes it so.

--- a/cmd/godwitstand/latency.go
+++ b/cmd/godwitstand/latency.go
@@ -42,7 +42,7 @@
 // Run measures direct calls and calls through two nodes in alternation.
 func (c *measureLatency) Run(env gtcommand.Env) error {
 	if !c.Untuned {
-		gtnode.TuneGC(0)
+		gtnode.TuneGC(0, int64(gtsettings.Default().Limit.MemoryBytes))
 	}
 	return withCPUProfile(c.Profile, func() error { return c.run(env) })
 }
--- a/cmd/godwittide/node.go
+++ b/cmd/godwittide/node.go
@@ -50,7 +50,7 @@
 		return err
 	}
 	go signals.log(env.Context(), log)
-	gtnode.TuneGC(0)
+	gtnode.TuneGC(0, int64(cfg.Limit.MemoryBytes))
 	node := &gtnode.Node{Settings: cfg, Log: log}
 	node.Init()
 	return node.Run(env.Context())
--- a/cmd/godwittide/sidecar.go
+++ b/cmd/godwittide/sidecar.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		return errorx.Decorate(err, "parse --level")
 	}
-	gtnode.TuneGC(boot.MemoryLimit())
+	gtnode.TuneGC(boot.MemoryLimit(), int64(boot.Settings().Limit.MemoryBytes))
 	out := gtlog.Open(os.Stdout)
 	defer out.Close()
 	log := gtlog.New(out, level, boot.Settings().Node.Instance)
--- a/core/process/gtbudget/budget.go
+++ b/core/process/gtbudget/budget.go
@@ -29,6 +29,10 @@
 	SmallBytes = 64 << 10
 	// smallShare is the share of the budget that is kept for small holders, as its divisor.
 	smallShare = 8
+	// responseShare is the share of the budget that is kept for responses, as its divisor. While
+	// a response finds no room it holds a slot at its backend server; a body that waits holds
+	// none.
+	responseShare = 4
 	// StallTime is the time in which a holder that is not to be dropped moves minMoved bytes.
 	StallTime = time.Second
 	minMoved  = 4 << 10
@@ -80,17 +84,25 @@
 	moved      int64
 	markMoved  int64 // moved at the time of mark
 	mark       time.Time
+	isResponse bool
 	isComplete bool
 	isDropped  bool
 }
 
 // Join adds a holder. onDrop is called, in any goroutine, when the holder is dropped. It must
 // not block or call the budget. A nil Budget returns a nil Holder.
-func (b *Budget) Join(onDrop func()) *Holder {
+func (b *Budget) Join(onDrop func()) *Holder { return b.join(onDrop, false) }
+
+// JoinResponse adds a holder for a response that is written. It moves bytes when they have been
+// written. Its size has no bound, so that it gets no more than the budget even if it is alone,
+// and it counts as stalled also while it waits for room.
+func (b *Budget) JoinResponse(onDrop func()) *Holder { return b.join(onDrop, true) }
+
+func (b *Budget) join(onDrop func(), isResponse bool) *Holder {
 	if b == nil {
 		return nil
 	}
-	h := &Holder{budget: b, onDrop: onDrop, freed: make(chan struct{}, 1), mark: b.Now()}
+	h := &Holder{budget: b, onDrop: onDrop, isResponse: isResponse, freed: make(chan struct{}, 1), mark: b.Now()}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.holders == nil {
@@ -172,7 +184,11 @@
 func (b *Budget) fitsLocked(h *Holder, n int64) bool {
 	reserve := b.Bytes / smallShare
 	small := h.held+n <= SmallBytes
-	return b.used+n <= b.Bytes-reserve || small && b.used+n <= b.Bytes || b.used-h.held <= reserve
+	large := b.Bytes - reserve
+	if !h.isResponse {
+		large -= b.Bytes / responseShare
+	}
+	return b.used+n <= large || small && b.used+n <= b.Bytes || !h.isResponse && b.used-h.held <= reserve
 }
 
 // pickLocked drops the holders with the least progress, until what they hold covers what is
@@ -191,7 +207,7 @@
 		_, waits := b.waiting[h]
 		switch {
 		case h.isDropped || h.held == 0:
-		case waits:
+		case waits && !h.isResponse:
 			waiting = append(waiting, h)
 		case !h.isComplete && now.Sub(h.mark) >= StallTime:
 			stalled = append(stalled, h)
@@ -226,6 +242,17 @@
 	}
 }
 
+// Charge reserves n bytes that are held already, whether there is room or not.
+func (h *Holder) Charge(n int64) {
+	if h == nil {
+		return
+	}
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	h.budget.used += n
+	h.held += n
+}
+
 // Freed returns the channel that gets a value when a holder that waits may reserve again.
 func (h *Holder) Freed() <-chan struct{} { return h.freed }
 
--- a/core/process/gtshard/shard.go
+++ b/core/process/gtshard/shard.go
@@ -13,6 +13,7 @@
 package gtshard
 
 import (
+	"hash"
 	"hash/fnv"
 	"sync"
 )
@@ -79,12 +80,27 @@
 // zero byte follows each part, so that ("a", "bc") and ("ab", "c") have different
 // hashes.
 func Hash(parts ...string) uint64 {
+	return mix(hashParts(parts).Sum64())
+}
+
+// HashWith returns the hash that Hash returns for the parts and a last one, which is given in
+// segments. It does not copy them.
+func HashWith(last [][]byte, parts ...string) uint64 {
+	h := hashParts(parts)
+	for _, b := range last {
+		_, _ = h.Write(b)
+	}
+	_, _ = h.Write([]byte{0})
+	return mix(h.Sum64())
+}
+
+func hashParts(parts []string) hash.Hash64 {
 	h := fnv.New64a()
 	for _, p := range parts {
 		_, _ = h.Write([]byte(p))
 		_, _ = h.Write([]byte{0})
 	}
-	return mix(h.Sum64())
+	return h
 }
 
 // mix applies the 64-bit finalizer of MurmurHash3, since the low bits of an FNV
--- a/core/request/gtcall/call.go
+++ b/core/request/gtcall/call.go
@@ -13,6 +13,7 @@
 package gtcall
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"time"
@@ -28,7 +29,7 @@
 	method        string
 	target        string
 	header        http.Header
-	body          []byte
+	body          [][]byte // segments
 	service       string
 	route         string
 	version       string
@@ -64,8 +65,19 @@
 // Header returns the caller's header fields.
 func (c Call) Header() http.Header { return c.header }
 
-// Body returns the whole body.
-func (c Call) Body() []byte { return c.body }
+// Body returns the whole body. It copies a body of several segments.
+func (c Call) Body() []byte {
+	switch len(c.body) {
+	case 0:
+		return nil
+	case 1:
+		return c.body[0]
+	}
+	return bytes.Join(c.body, nil)
+}
+
+// BodySegments returns the body in the segments in which it is kept.
+func (c Call) BodySegments() [][]byte { return c.body }
 
 // Service returns the name of the service.
 func (c Call) Service() string { return c.service }
@@ -120,7 +132,9 @@
 func (c Call) Deadline() time.Time { return c.deadline }
 
 // Fingerprint returns a hash of the service, method, target and body.
-func (c Call) Fingerprint() uint64 { return gtdedup.Fingerprint(c.service, c.method, c.target, c.body) }
+func (c Call) Fingerprint() uint64 {
+	return gtdedup.Fingerprint(c.service, c.method, c.target, c.body...)
+}
 
 // WithHeader returns a copy with the caller's header fields.
 func (c Call) WithHeader(h http.Header) Call {
@@ -130,7 +144,17 @@
 
 // WithBody returns a copy with the body.
 func (c Call) WithBody(b []byte) Call {
-	c.body = b
+	c.body = nil
+	if len(b) > 0 {
+		c.body = [][]byte{b}
+	}
+	return c
+}
+
+// WithBodySegments returns a copy with the body in segments, so that a large one needs no
+// memory in one piece.
+func (c Call) WithBodySegments(segments [][]byte) Call {
+	c.body = segments
 	return c
 }
 
--- a/core/request/gtdedup/crashes.go
+++ b/core/request/gtdedup/crashes.go
@@ -18,9 +18,9 @@
 )
 
 // Fingerprint returns a hash of the contents of a request. It is the same for all
-// attempts and on all nodes; identical requests share it.
-func Fingerprint(service, method, target string, body []byte) uint64 {
-	return gtshard.Hash(service, method, target, string(body))
+// attempts and on all nodes; identical requests share it. The body may be given in segments.
+func Fingerprint(service, method, target string, body ...[]byte) uint64 {
+	return gtshard.HashWith(body, service, method, target)
 }
 
 // Crash records the backend server crashes during which one request was in
--- a/io/connection/gtsocket/socket.go
+++ b/io/connection/gtsocket/socket.go
@@ -123,6 +123,13 @@
 	}
 }
 
+// InterruptWrite ends the writes of the connection of the request that a context belongs to.
+func InterruptWrite(ctx context.Context) {
+	if c := Conn(ctx); c != nil {
+		_ = c.SetWriteDeadline(time.Unix(1, 0))
+	}
+}
+
 // CallerLeft reports whether the context has ended, or the caller of its request has
 // closed the connection.
 func CallerLeft(ctx context.Context) bool {
--- a/io/process/gtnode/admin.go
+++ b/io/process/gtnode/admin.go
@@ -175,6 +175,8 @@
 	n.scope.Gauge("refused").Update(float64(n.gate.Refused()))
 	n.scope.Gauge("control_sent_bytes").Update(float64(s.ControlBytesSent))
 	n.scope.Gauge("control_received_bytes").Update(float64(s.ControlBytesReceived))
+	n.scope.Gauge("memory_used_bytes").Update(float64(n.budget.Used()))
+	n.scope.Gauge("memory_dropped").Update(float64(n.budget.DroppedCount()))
 	n.scope.Gauge("keys").Update(float64(n.dedup.Len()))
 	n.scope.Gauge("crashes").Update(float64(n.crashes.Len()))
 	gtmetric.RecordInFlight(n.scope, n.requests.Counts())
--- a/io/process/gtnode/memory.go
+++ b/io/process/gtnode/memory.go
@@ -15,14 +15,18 @@
 	// heapPercent is the percentage of the available memory that the soft memory
 	// limit allows; stacks, kernel buffers and the program need the rest.
 	heapPercent = 45
+	// heapMargin is what the soft memory limit allows beyond the budget of bytes where the
+	// available memory is not known: for the node's own tables, and garbage.
+	heapMargin = 50 << 20
 )
 
 // TuneGC configures the garbage collector of this process for a node that may
-// use the given number of bytes; 0 means no limit.
-func TuneGC(available int64) {
+// use the given number of bytes, where 0 means no limit, of which it holds up to budget bytes
+// for others.
+func TuneGC(available, budget int64) {
 	if available == 0 {
 		debug.SetGCPercent(gcPercent)
-		debug.SetMemoryLimit(maxMemoryBytes)
+		debug.SetMemoryLimit(min(maxMemoryBytes, budget+heapMargin))
 		return
 	}
 	debug.SetGCPercent(gcPercentLimited)
--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -26,6 +26,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"godwittide/core/process/gtbudget"
 	"godwittide/core/process/gtdrain"
 	"godwittide/core/process/gtheartbeat"
 	"godwittide/core/process/gtmember"
@@ -116,6 +117,7 @@
 	configStore *gtrepository.Repository
 	overlay     *gtoverlay.Overlay
 
+	budget       *gtbudget.Budget
 	gate         *gtadmission.Gate
 	dedup        *gtdedup.Keys
 	retry        *gtretry.Policy
@@ -275,6 +277,7 @@
 	n.requests = &gtinflight.Table{Now: now}
 	n.metrics = gtmetric.New()
 	n.scope = n.metrics.Scope()
+	n.budget = &gtbudget.Budget{Bytes: int64(cfg.Limit.MemoryBytes), Now: now}
 	n.gate = &gtadmission.Gate{Now: now, Slots: cfg.Backend.Slots, Fixed: cfg.Backend.FixedLimit, PausedSince: n.timer.PausedSince}
 	n.dedup = &gtdedup.Keys{Now: now}
 	split := &gtsplit.Split{Rand: rand.Float64}
@@ -296,11 +299,11 @@
 	if n.Heartbeats != nil {
 		n.localBackend.WarmUpEnd = n.backend.warmUpEndTime
 	}
-	n.hopHandler = &gthop.Handler{LocalBackend: n.localBackend, Timer: n.timer, MaxBodyBytes: cfg.Limit.MaxBodyBytes, OnPanic: n.recordPanic, PausedSince: n.timer.PausedSince, Requests: n.requests}
+	n.hopHandler = &gthop.Handler{LocalBackend: n.localBackend, Timer: n.timer, MaxBodyBytes: cfg.Limit.MaxBodyBytes, Budget: n.budget, OnPanic: n.recordPanic, PausedSince: n.timer.PausedSince, Requests: n.requests}
 	client := &gthop.Client{Now: now, Pool: n.hopPool, Dialect: n.Dialect, MaxBufferBytes: cfg.Limit.MaxBufferBytes, Trace: n.tracer.Start}
 	n.edge = &gtedge.Edge{
 		Now: now, Self: cfg.Node.Instance, IDPrefix: cfg.Node.Instance + "-" + strconv.FormatInt(n.startTime.UnixMilli(), 36) + "-",
-		MaxBodyBytes: cfg.Limit.MaxBodyBytes, MaxHops: cfg.Limit.MaxHops, Holder: n.holder, Router: n.router, Instances: n.table.ServiceMembers,
+		MaxBodyBytes: cfg.Limit.MaxBodyBytes, Budget: n.budget, MaxHops: cfg.Limit.MaxHops, Holder: n.holder, Router: n.router, Instances: n.table.ServiceMembers,
 		Retry: n.retry, Crashes: n.crashes, OnCrash: n.mergeCrash, HistoryKnown: n.dedupHistoryKnown, LocalBackend: n.localBackend, Client: client,
 		MayBegin: n.drain.MayBegin, Closing: n.drain.Begun, OnOutcome: n.recordOutcome, OnResponse: n.recordResponse, Trace: n.tracer.Start, OnPanic: n.recordPanic,
 		Dialect: n.Dialect, Split: split, OnRetry: n.logRetry, OnOmitted: n.countOmittedAttempt, Requests: n.requests,
--- a/io/process/gtsettings/settings.go
+++ b/io/process/gtsettings/settings.go
@@ -121,6 +121,9 @@
 	MaxHops int `toml:"hops"`
 	// MaxCallerConnections is the maximum number of connections from callers.
 	MaxCallerConnections int `toml:"callers"`
+	// MemoryBytes is the size of the budget of what is held for callers, other nodes and the
+	// backend server.
+	MemoryBytes int `toml:"memory"`
 	// Pipeline is the maximum number of requests on one connection that are read before the
 	// first is answered. 1 means that each is read after the response to the one before.
 	Pipeline int `toml:"pipeline"`
@@ -170,7 +173,7 @@
 		Backend: Backend{Slots: 10, MaxConnections: 100},
 		Store:   Store{Prefix: "godwittide/"},
 		Limit: Limits{
-			MaxBodyBytes: 1 << 20, MaxHeadBytes: 32 << 10, MaxBufferBytes: 64 << 10, MaxHops: 16, MaxCallerConnections: 4096, Pipeline: 16,
+			MaxBodyBytes: 1 << 20, MaxHeadBytes: 32 << 10, MaxBufferBytes: 64 << 10, MaxHops: 16, MaxCallerConnections: 4096, MemoryBytes: 150 << 20, Pipeline: 16,
 			ReadTimeout: Duration(10 * time.Second), DrainTimeout: Duration(20 * time.Second), RefusePeriod: Duration(1500 * time.Millisecond),
 		},
 		Log:   Log{Level: "info", Format: "json"},
@@ -292,6 +295,7 @@
 		{"limit.buffer", s.Limit.MaxBufferBytes, 0, 16 << 20},
 		{"limit.hops", s.Limit.MaxHops, 1, 64},
 		{"limit.callers", s.Limit.MaxCallerConnections, 1, 1 << 20},
+		{"limit.memory", s.Limit.MemoryBytes, 1 << 20, 1 << 40},
 		{"limit.pipeline", s.Limit.Pipeline, 1, 256},
 	}
 	for _, v := range ranges {
--- a/io/request/gtedge/edge.go
+++ b/io/request/gtedge/edge.go
@@ -21,6 +21,7 @@
 	"sync/atomic"
 	"time"
 
+	"godwittide/core/process/gtbudget"
 	"godwittide/core/process/gtmember"
 	"godwittide/core/request/gtcall"
 	"godwittide/core/request/gtdedup"
@@ -58,6 +59,8 @@
 	IDPrefix string
 	// MaxBodyBytes is the largest request body in bytes.
 	MaxBodyBytes int
+	// Budget is the budget of bytes that bodies and responses count in; nil means none.
+	Budget *gtbudget.Budget
 	// MaxHops is the largest number of hops in a call chain.
 	MaxHops int
 	// Holder holds the active version of the configuration.
@@ -121,17 +124,20 @@
 	defer gthop.Recover(w, e.OnPanic, e.Dialect.WriteError)
 	start := e.Now()
 	ctx, end := e.Trace(gtinflight.NewContext(r.Context(), entry), "edge", r.Header)
-	c, resp, err := e.serve(ctx, r)
+	hold := gthop.NewHold(e.Budget, r)
+	defer hold.Leave()
+	c, resp, err := e.serve(ctx, r, hold)
 	end(err)
 	e.OnResponse(c, err, e.Now().Sub(start))
 	entry.MoveTo(gtinflight.Writing, "")
 	if e.Closing != nil && e.Closing() {
 		w.Header().Set("Connection", "close")
 	}
+	hold.EndBody(w)
 	if err != nil {
 		e.Dialect.WriteError(w, err)
 	} else {
-		gthop.WriteResponse(w, resp)
+		hold.WriteResponse(w, resp)
 	}
 	entry.SetOutcome(gtinflight.OutcomeOf(err))
 }
@@ -144,14 +150,14 @@
 	return gtinflight.Caller
 }
 
-func (e *Edge) serve(ctx context.Context, r *http.Request) (gtcall.Call, gtcall.Response, error) {
+func (e *Edge) serve(ctx context.Context, r *http.Request, hold *gthop.Hold) (gtcall.Call, gtcall.Response, error) {
 	current := e.Holder.Current()
 	if current.Snapshot().Version() == 0 {
 		return gtcall.Call{}, gtcall.Response{}, gtkind.New(gtkind.NoConfig, "node has no configuration yet")
 	}
 	cfg := current.Config()
 	entry := gtinflight.FromContext(ctx)
-	c, err := e.newCall(cfg, r, entry)
+	c, err := e.newCall(cfg, r, entry, hold)
 	if err != nil {
 		return c, gtcall.Response{}, err
 	}
@@ -193,7 +199,7 @@
 
 // newCall returns the call for a request of a caller. If it fails, the returned
 // call is empty, or has the ID and route of a request whose body can't be read.
-func (e *Edge) newCall(cfg *gtconfig.Config, r *http.Request, entry *gtinflight.Entry) (gtcall.Call, error) {
+func (e *Edge) newCall(cfg *gtconfig.Config, r *http.Request, entry *gtinflight.Entry, hold *gthop.Hold) (gtcall.Call, error) {
 	start := e.Now()
 	hops, _ := strconv.Atoi(r.Header.Get(gthop.HeaderHops))
 	if hops < 0 || hops >= e.MaxHops {
@@ -214,7 +220,7 @@
 	bodyTimeout := cmp.Or(route.Timeout(), gtconfig.MaxTimeout)
 	bodyDeadline := start.Add(e.Dialect.ShortenTimeout(r, bodyTimeout))
 	entry.Identify(id, route.Name(), bodyDeadline)
-	body, err := gthop.ReadBody(r, entry, e.MaxBodyBytes, bodyDeadline)
+	body, err := hold.ReadBody(r, entry, e.MaxBodyBytes, bodyDeadline)
 	if err != nil {
 		return gtcall.New(id, r.Method, r.URL.RequestURI()).WithRoute("", route.Name(), route.Class()), err
 	}
@@ -223,7 +229,7 @@
 	service := route.Service(e.Split.Draw(route.Name()))
 	return gtcall.New(id, r.Method, r.URL.RequestURI()).
 		WithHeader(header).
-		WithBody(body).
+		WithBodySegments(body).
 		WithRoute(service, route.Name(), route.Class()).
 		WithIdempotent(route.Idempotent(r.Method)).
 		WithKey(key, r.Header.Get(gthop.HeaderResend) == "1", false).
--- a/io/request/gthop/client.go
+++ b/io/request/gthop/client.go
@@ -1,10 +1,12 @@
 package gthop
 
 import (
-	"bytes"
 	"context"
+	"io"
 	"maps"
+	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"godwittide/core/process/gtmember"
@@ -64,10 +66,19 @@
 // copy that shares the values with the call's, and the call's field Host becomes
 // the request's host.
 func newRequest(c gtcall.Call, addr string) (*http.Request, error) {
-	req, err := http.NewRequest(c.Method(), "http://"+addr+c.Target(), bytes.NewReader(c.Body()))
+	req, err := http.NewRequest(c.Method(), "http://"+addr+c.Target(), nil)
 	if err != nil {
 		return nil, gtkind.Wrap(err, gtkind.BadRequest, "build the HTTP request")
 	}
+	if segments := c.BodySegments(); len(segments) > 0 {
+		body := net.Buffers(slices.Clone(segments)) // which reading consumes
+		req.Body = io.NopCloser(&body)
+		for _, b := range segments {
+			req.ContentLength += int64(len(b))
+		}
+	} else {
+		req.Body = http.NoBody
+	}
 	req.Header = make(http.Header, len(c.Header())+addedFields)
 	maps.Copy(req.Header, c.Header())
 	req.Host = req.Header.Get("Host")
--- a/io/request/gthop/handler.go
+++ b/io/request/gthop/handler.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"godwittide/core/connection/gtliveness"
+	"godwittide/core/process/gtbudget"
 	"godwittide/core/process/gtshard"
 	"godwittide/core/process/gttimer"
 	"godwittide/core/request/gtcall"
@@ -16,7 +17,6 @@
 	"godwittide/core/request/gtinflight"
 	"godwittide/core/request/gtkind"
 	"godwittide/io/connection/gtpool"
-	"godwittide/io/connection/gtsocket"
 )
 
 // Handler serves calls from peers. Its fields are set before use.
@@ -27,6 +27,8 @@
 	Timer *gttimer.Service
 	// MaxBodyBytes is the largest request body in bytes.
 	MaxBodyBytes int
+	// Budget is the budget of bytes that bodies and responses count in; nil means none.
+	Budget *gtbudget.Budget
 	// OnPanic is called with the value of each panic, which ends only its
 	// request.
 	OnPanic func(v any)
@@ -56,13 +58,16 @@
 		return
 	}
 	entry.Identify(meta[metaID], meta[metaRoute], time.Time{})
-	resp, err := h.serve(gtinflight.NewContext(r.Context(), entry), w, r, meta)
+	hold := NewHold(h.Budget, r)
+	defer hold.Leave()
+	resp, err := h.serve(gtinflight.NewContext(r.Context(), entry), w, r, meta, hold)
 	entry.MoveTo(gtinflight.Writing, "")
+	hold.EndBody(w)
 	if err != nil {
 		fail(w, err)
 	} else {
 		w.Header().Set(HeaderResponse, encodeResponseMeta(h.responseMeta(meta, gtkind.None)))
-		WriteResponse(w, resp)
+		hold.WriteResponse(w, resp)
 	}
 	entry.SetOutcome(gtinflight.OutcomeOf(err))
 }
@@ -98,12 +103,12 @@
 	fail(w, gtkind.New(gtkind.Internal, "request handler of the node panicked"))
 }
 
-func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, meta [metaCount]string) (gtcall.Response, error) {
+func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, meta [metaCount]string, hold *Hold) (gtcall.Response, error) {
 	if instance, self := meta[metaInstance], h.LocalBackend.Self().Instance(); instance != self {
 		return gtcall.Response{}, gtkind.New(gtkind.Refused, "this is instance %s, the request is addressed to %.64q", self, instance)
 	}
 	entry := gtinflight.FromContext(ctx)
-	body, err := ReadBody(r, entry, h.MaxBodyBytes, time.Time{})
+	body, err := hold.ReadBody(r, entry, h.MaxBodyBytes, time.Time{})
 	if err != nil {
 		return gtcall.Response{}, err
 	}
@@ -145,37 +150,6 @@
 	return h.Timer.Sleep(ctx, disconnectWait) != nil
 }
 
-// ReadBody returns the body of a request. It fails with TooLarge if the body has
-// more than limit bytes, with Expired if the whole body has not arrived before the deadline,
-// with Leaving if a shutdown interrupts it, and with BadRequest if it can't be read. A zero
-// deadline means none.
-func ReadBody(r *http.Request, entry *gtinflight.Entry, limit int, deadline time.Time) ([]byte, error) {
-	if r.ContentLength > int64(limit) {
-		return nil, gtkind.New(gtkind.TooLarge, "request body has %d bytes, the limit is %d", r.ContentLength, limit)
-	}
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	entry.BeginReading(func() { gtsocket.InterruptRead(r.Context()) })
-	if !deadline.IsZero() {
-		defer time.AfterFunc(time.Until(deadline), entry.Interrupt).Stop()
-	}
-	b, err := io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
-	interrupted := !entry.EndReading()
-	switch {
-	case interrupted && !deadline.IsZero() && !time.Now().Before(deadline):
-		return nil, gtkind.New(gtkind.Expired, "deadline passed before the request body has arrived")
-	case interrupted:
-		return nil, gtkind.New(gtkind.Leaving, "this node shuts down before the request body has arrived")
-	case err != nil:
-		return nil, gtkind.Wrap(err, gtkind.BadRequest, "read the request body")
-	case len(b) > limit:
-		return nil, gtkind.New(gtkind.TooLarge, "request body is larger than %d bytes", limit)
-	default:
-		return b, nil
-	}
-}
-
 // keepAlive sends the keep-alives of one call: interim responses (102) until the
 // response is written.
 type keepAlive struct {
--- a/io/request/gthop/metadata.go
+++ b/io/request/gthop/metadata.go
@@ -106,7 +106,7 @@
 
 // decodeCall returns the call in a request from a peer, with the metadata meta.
 // It fails with BadRequest if a number in the metadata is invalid.
-func decodeCall(r *http.Request, meta [metaCount]string, body []byte, now time.Time) (gtcall.Call, error) {
+func decodeCall(r *http.Request, meta [metaCount]string, body [][]byte, now time.Time) (gtcall.Call, error) {
 	c := gtcall.New(meta[metaID], r.Method, r.URL.RequestURI())
 	remaining, err := strconv.ParseInt(meta[metaRemaining], 10, 64)
 	if err != nil || remaining > gtconfig.MaxTimeout.Milliseconds() {
@@ -128,7 +128,7 @@
 	if has(flagLookupOnly) {
 		c = c.WithLookupOnly()
 	}
-	return c.WithBody(body).
+	return c.WithBodySegments(body).
 		WithRoute(meta[metaService], meta[metaRoute], gtconfig.ParseClass(meta[metaClass])).
 		WithVersion(version).
 		WithIdempotent(!has(flagNonIdempotent)).
--- a/io/request/gthop/metadata_test.go
+++ b/io/request/gthop/metadata_test.go
@@ -48,7 +48,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		got, err := decodeCall(r, meta, []byte("b"), now)
+		got, err := decodeCall(r, meta, [][]byte{[]byte("b")}, now)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/io/request/gthop/response.go
+++ b/io/request/gthop/response.go
@@ -37,52 +37,6 @@
 	_, _ = w.Write(b)
 }
 
-// WriteResponse writes a response. If its stream fails, WriteResponse panics with
-// http.ErrAbortHandler, which closes the connection, so that the receiver
-// doesn't take the truncated response as complete.
-func WriteResponse(w http.ResponseWriter, resp gtcall.Response) {
-	h := w.Header()
-	for k, v := range resp.Header() {
-		h[k] = v
-	}
-	if resp.Size() >= 0 {
-		h.Set("Content-Length", strconv.FormatInt(resp.Size(), 10))
-	}
-	w.WriteHeader(resp.Status())
-	if resp.Stream() == nil {
-		_, _ = w.Write(resp.Body())
-		return
-	}
-	defer resp.Stream().Close()
-	if err := copyFlushing(w, resp.Stream()); err != nil {
-		panic(http.ErrAbortHandler)
-	}
-}
-
-// copyFlushing copies r to w and flushes w after each write, so that the receiver
-// gets the parts of a stream as they arrive.
-func copyFlushing(w http.ResponseWriter, r io.Reader) error {
-	flusher, _ := w.(http.Flusher)
-	buf := make([]byte, 32<<10)
-	for {
-		n, err := r.Read(buf)
-		if n > 0 {
-			if _, err := w.Write(buf[:n]); err != nil {
-				return err
-			}
-			if flusher != nil {
-				flusher.Flush()
-			}
-		}
-		if err == io.EOF {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
 // readResponse returns a response with a buffered body if that has at most limit
 // bytes, and with a stream otherwise. It calls onClose once, when the body has
 // been read or the stream closed, with the error that ended it, or nil.
