gtnode: connections in total and for each address, lines of heads

All listeners together leave 256 descriptors of the process's limit.

net/http bounds the bytes of a head, of which lines of five bytes take some hundred each once parsed. A head has at most 1,000 lines, and 16 empty ones before it. Counting stops when the request's handler starts, as its head may have been read together with the request before it (TestBodyBehindHeadThatWasReadEarlyIsNoHead).

--- /dev/null
+++ b/io/process/gtnode/conns.go
@@ -0,0 +1,233 @@
+package gtnode
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"github.com/joomcode/errorx"
+	"golang.org/x/sys/unix"
+
+	"godwittide/io/connection/gtsocket"
+)
+
+const (
+	// reservedDescriptors is the number of file descriptors that connections from outside may
+	// not use: the node needs them for its backend server, other nodes, the store and files.
+	reservedDescriptors = 256
+	// maxHeadLines is the maximum number of lines of a head. net/http bounds its bytes only, and
+	// a line of five bytes takes some hundred once it is parsed.
+	maxHeadLines = 1000
+	// maxEmptyLines is the maximum number of empty lines before a head.
+	maxEmptyLines = 16
+)
+
+// errHead ends a connection whose head has too many lines.
+var errHead = errorx.IllegalFormat.New("head of a request has too many lines")
+
+// descriptors counts the connections of all listeners of a process against the descriptors that
+// it may open.
+type descriptors struct {
+	once sync.Once
+	max  int64
+	open atomic.Int64
+}
+
+// openConnections counts the connections from outside. The limit is one of the process.
+var openConnections descriptors
+
+// add counts a connection and reports whether a descriptor is left for it.
+func (d *descriptors) add() bool {
+	d.once.Do(func() {
+		var r unix.Rlimit
+		d.max = 1 << 20
+		if unix.Getrlimit(unix.RLIMIT_NOFILE, &r) == nil && r.Cur < 1<<20 {
+			d.max = max(int64(r.Cur)-reservedDescriptors, int64(r.Cur)/2)
+		}
+	})
+	if d.open.Add(1) <= d.max {
+		return true
+	}
+	d.open.Add(-1)
+	return false
+}
+
+// LimitListener returns a listener that closes connections beyond maxConns, and those whose
+// heads have too many lines.
+func LimitListener(ln net.Listener, maxConns int) net.Listener {
+	return &limitListener{Listener: ln, maxConns: int64(maxConns), guardsHeads: true}
+}
+
+// limitListener limits the number of open connections, in total and for each address of the
+// other end: it closes further ones at once.
+type limitListener struct {
+	net.Listener
+	maxConns int64
+	// maxPerAddress is the limit for each address; 0 means maxConns.
+	maxPerAddress int
+	// guardsHeads bounds the lines of the heads of HTTP requests.
+	guardsHeads bool
+	open        atomic.Int64
+
+	mu        sync.Mutex
+	addresses map[string]int
+}
+
+// Accept returns the next connection within the limit.
+func (l *limitListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if address, ok := l.add(conn); ok {
+			return &limitConn{Conn: conn, listener: l, address: address}, nil
+		}
+		_ = conn.Close()
+	}
+}
+
+// add counts a connection, and returns the address that it counts for.
+func (l *limitListener) add(conn net.Conn) (string, bool) {
+	if !openConnections.add() {
+		return "", false
+	}
+	if l.open.Add(1) > l.maxConns {
+		l.open.Add(-1)
+		openConnections.open.Add(-1)
+		return "", false
+	}
+	if l.maxPerAddress == 0 {
+		return "", true
+	}
+	address, _, err := net.SplitHostPort(conn.RemoteAddr().String())
+	if err != nil {
+		return "", true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.addresses == nil {
+		l.addresses = map[string]int{}
+	}
+	if l.addresses[address] >= l.maxPerAddress {
+		l.open.Add(-1)
+		openConnections.open.Add(-1)
+		return "", false
+	}
+	l.addresses[address]++
+	return address, true
+}
+
+func (l *limitListener) remove(address string) {
+	l.open.Add(-1)
+	openConnections.open.Add(-1)
+	if address == "" {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.addresses[address]--; l.addresses[address] == 0 {
+		delete(l.addresses, address)
+	}
+}
+
+// limitConn is a connection that counts towards the limit of its listener. It remembers
+// whether bytes have been received.
+type limitConn struct {
+	net.Conn
+	listener *limitListener
+	address  string
+	once     sync.Once
+	received atomic.Bool
+	restart  atomic.Bool // the next byte begins a head
+	inBody   atomic.Bool // a request is served, so that what comes is no head, or one behind it
+	head     headLines
+}
+
+// Read reads from the connection.
+func (c *limitConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.received.Store(true)
+		if c.listener.guardsHeads && !c.checkHead(b[:n]) {
+			return 0, errHead
+		}
+	}
+	return n, err
+}
+
+func (c *limitConn) checkHead(b []byte) bool {
+	if c.restart.Swap(false) {
+		c.head = headLines{}
+		c.inBody.Store(false)
+	}
+	return c.inBody.Load() || c.head.add(b)
+}
+
+// endHead tells that the head of a request is complete on the connection of its context. It may
+// have been read together with the request before it.
+func endHead(ctx context.Context) {
+	if c, ok := gtsocket.Conn(ctx).(*limitConn); ok {
+		c.restart.Store(false)
+		c.inBody.Store(true)
+	}
+}
+
+// hasReceived reports whether bytes have been received since the last call of
+// resetReceived.
+func (c *limitConn) hasReceived() bool { return c.received.Load() }
+
+func (c *limitConn) resetReceived() {
+	c.received.Store(false)
+	c.restart.Store(true)
+}
+
+// resetReceived forgets that bytes have been received on a connection that waits for a request.
+func resetReceived(c net.Conn) {
+	if lc, ok := c.(*limitConn); ok {
+		lc.resetReceived()
+	}
+}
+
+// NetConn returns the connection that the limit is on.
+func (c *limitConn) NetConn() net.Conn { return c.Conn }
+
+// Close closes the connection and removes it from the listener's count.
+func (c *limitConn) Close() error {
+	c.once.Do(func() { c.listener.remove(c.address) })
+	return c.Conn.Close()
+}
+
+// headLines counts the lines of a head as it arrives.
+type headLines struct {
+	lines, empty, length int
+	isComplete           bool
+}
+
+// add counts the lines in b, and reports whether the head is within its bounds so far.
+func (h *headLines) add(b []byte) bool {
+	if h.isComplete {
+		return true
+	}
+	for _, c := range b {
+		switch {
+		case c == '\r':
+		case c != '\n':
+			h.length++
+		case h.length > 0:
+			h.lines, h.length = h.lines+1, 0
+			if h.lines > maxHeadLines {
+				return false
+			}
+		case h.lines > 0:
+			h.isComplete = true
+			return true
+		default:
+			if h.empty++; h.empty > maxEmptyLines {
+				return false
+			}
+		}
+	}
+	return true
+}
--- a/io/process/gtnode/idle.go
+++ b/io/process/gtnode/idle.go
@@ -141,6 +141,7 @@
 // draining is true, and aborts requests on connections whose close notice has been sent.
 func (i *idleConns) closeWhen(draining func() bool, h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		endHead(r.Context())
 		if i.wasNotified(r) {
 			panic(http.ErrAbortHandler) // the request arrived while the notice was being sent
 		}
--- a/io/process/gtnode/serve.go
+++ b/io/process/gtnode/serve.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -95,6 +94,8 @@
 		}
 		if p.out == &l.hop {
 			l.hopSocket = ln
+			// Below TLS the heads can't be seen, but there each node has a certificate.
+			ln = &limitListener{Listener: ln, maxConns: int64(n.Settings.Limit.MaxNodeConnections), guardsHeads: n.credentials == nil}
 		}
 		if p.secure && n.credentials != nil {
 			ln = tls.NewListener(ln, n.credentials.Config())
@@ -170,14 +171,16 @@
 		n.servers.edgeConns.notice = closeNotice
 	}
 	n.servers.edge.ConnContext, n.servers.hop.ConnContext = gtsocket.WithConn, gtsocket.WithConn
-	edge := &limitListener{Listener: l.edge, maxConns: int64(n.Settings.Limit.MaxCallerConnections)}
+	limit := n.Settings.Limit
+	edge := &limitListener{Listener: l.edge, maxConns: int64(limit.MaxCallerConnections), maxPerAddress: limit.MaxAddressConnections, guardsHeads: true}
+	admin := LimitListener(l.admin, limit.MaxAdminConnections)
 	if n.Settings.Limit.Pipeline > 1 {
 		n.servePipelining(edge, edgeHandler)
 	}
 	for _, s := range []struct {
 		server *http.Server
 		ln     net.Listener
-	}{{n.servers.edge, edge}, {n.servers.hop, l.hop}, {n.servers.admin, l.admin}} {
+	}{{n.servers.edge, edge}, {n.servers.hop, l.hop}, {n.servers.admin, admin}} {
 		s.server.ErrorLog = debugLogger(n.Log)
 		n.wg.Go(func() {
 			if err := s.server.Serve(s.ln); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
@@ -264,66 +267,3 @@
 	s.edgeConns.closeTakenOver()
 	_ = s.listeners.peer.Close()
 }
-
-// limitListener limits the number of open connections: it closes further ones
-// at once.
-type limitListener struct {
-	net.Listener
-	maxConns int64
-	open     atomic.Int64
-}
-
-// Accept returns the next connection within the limit.
-func (l *limitListener) Accept() (net.Conn, error) {
-	for {
-		conn, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		if l.open.Add(1) <= l.maxConns {
-			return &limitConn{Conn: conn, listener: l}, nil
-		}
-		l.open.Add(-1)
-		_ = conn.Close()
-	}
-}
-
-// limitConn is a connection that counts towards the limit of its listener. It remembers
-// whether bytes have been received.
-type limitConn struct {
-	net.Conn
-	listener *limitListener
-	once     sync.Once
-	received atomic.Bool
-}
-
-// Read reads from the connection.
-func (c *limitConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.received.Store(true)
-	}
-	return n, err
-}
-
-// hasReceived reports whether bytes have been received since the last call of
-// resetReceived.
-func (c *limitConn) hasReceived() bool { return c.received.Load() }
-
-func (c *limitConn) resetReceived() { c.received.Store(false) }
-
-// resetReceived forgets that bytes have been received on a connection that waits for a request.
-func resetReceived(c net.Conn) {
-	if lc, ok := c.(*limitConn); ok {
-		lc.resetReceived()
-	}
-}
-
-// NetConn returns the connection that the limit is on.
-func (c *limitConn) NetConn() net.Conn { return c.Conn }
-
-// Close closes the connection and removes it from the listener's count.
-func (c *limitConn) Close() error {
-	c.once.Do(func() { c.listener.open.Add(-1) })
-	return c.Conn.Close()
-}
--- a/io/process/gtsettings/settings.go
+++ b/io/process/gtsettings/settings.go
@@ -121,6 +121,13 @@
 	MaxHops int `toml:"hops"`
 	// MaxCallerConnections is the maximum number of connections from callers.
 	MaxCallerConnections int `toml:"callers"`
+	// MaxAddressConnections is the maximum number of those from one address. 0 means that
+	// MaxCallerConnections is the only limit, as where all callers have the same address.
+	MaxAddressConnections int `toml:"address"`
+	// MaxNodeConnections is the maximum number of connections for requests of other nodes.
+	MaxNodeConnections int `toml:"nodes"`
+	// MaxAdminConnections is the maximum number of connections to the admin address.
+	MaxAdminConnections int `toml:"admin"`
 	// MemoryBytes is the size of the budget of what is held for callers, other nodes and the
 	// backend server.
 	MemoryBytes int `toml:"memory"`
@@ -173,7 +180,7 @@
 		Backend: Backend{Slots: 10, MaxConnections: 100},
 		Store:   Store{Prefix: "godwittide/"},
 		Limit: Limits{
-			MaxBodyBytes: 1 << 20, MaxHeadBytes: 32 << 10, MaxBufferBytes: 64 << 10, MaxHops: 16, MaxCallerConnections: 4096, MemoryBytes: 150 << 20, Pipeline: 16,
+			MaxBodyBytes: 1 << 20, MaxHeadBytes: 32 << 10, MaxBufferBytes: 64 << 10, MaxHops: 16, MaxCallerConnections: 4096, MaxNodeConnections: 1 << 15, MaxAdminConnections: 256, MemoryBytes: 150 << 20, Pipeline: 16,
 			ReadTimeout: Duration(10 * time.Second), DrainTimeout: Duration(20 * time.Second), RefusePeriod: Duration(1500 * time.Millisecond),
 		},
 		Log:   Log{Level: "info", Format: "json"},
@@ -295,6 +302,9 @@
 		{"limit.buffer", s.Limit.MaxBufferBytes, 0, 16 << 20},
 		{"limit.hops", s.Limit.MaxHops, 1, 64},
 		{"limit.callers", s.Limit.MaxCallerConnections, 1, 1 << 20},
+		{"limit.address", s.Limit.MaxAddressConnections, 0, 1 << 20},
+		{"limit.nodes", s.Limit.MaxNodeConnections, 1, 1 << 20},
+		{"limit.admin", s.Limit.MaxAdminConnections, 1, 1 << 20},
 		{"limit.memory", s.Limit.MemoryBytes, 1 << 20, 1 << 40},
 		{"limit.pipeline", s.Limit.Pipeline, 1, 256},
 	}
