--- a/io/request/gthop/spool.go
+++ b/io/request/gthop/spool.go
@@ -20,9 +20,9 @@
 	defaultSpoolBytes = 4 << 20
 	// spoolShare is the share of the budget that one spool may take, as its divisor.
 	spoolShare = 4
-	// stallTime is how long a receiver may take nothing while its spool is full or the budget
-	// has no room. The slot at the backend server is not free until then, and a backend server
-	// cuts off a response that stays unread for some seconds.
+	// stallTime is how long a receiver may take nothing while the budget has no room for more of
+	// its response. The slot at the backend server is not free until then. While only its spool
+	// is full, it may be on a slow link and is waited for, unless another holder finds no room.
 	stallTime = gtbudget.StallTime
 )
 
@@ -168,7 +168,7 @@
 }
 
 // awaitRoom reserves the next piece. It reports whether there is one to be read: the receiver is
-// disconnected if it takes nothing of a full spool.
+// disconnected if it takes nothing while the budget has no room.
 func (s *spool) awaitRoom() bool {
 	ticker := time.NewTicker(roomPeriod)
 	defer ticker.Stop()
@@ -178,7 +178,10 @@
 		isEmpty, isFull := s.kept == 0, s.kept+spoolReadBytes > s.maxBytes
 		s.mu.Unlock()
 		switch {
-		case isFull:
+		case isFull && !s.holder.IsDropped():
+			deadline = time.Now().Add(stallTime)
+		case s.holder.IsDropped():
+			return false
 		case isEmpty: // as the writer needs one piece at least
 			s.holder.Charge(spoolReadBytes)
 			return true
