test/untrusted: a single body of 64 MB is served on a node with 134 MB

Guards against a budget that refuses a request that is alone, and against copies of its body. The budget is 35% of 134 MB as on the platform.

--- a/test/untrusted/node_test.go
+++ b/test/untrusted/node_test.go
@@ -138,6 +138,12 @@
 
 // startNode starts a store, a backend server and a node with a configuration.
 func startNode(t *testing.T) node {
+	t.Helper()
+	return startNodeWith(t, bodyBytes, budgetBytes)
+}
+
+// startNodeWith starts a node with the given limit.body and limit.memory.
+func startNodeWith(t *testing.T, maxBody, budget int) node {
 	t.Helper()
 	dir, err := build()
 	if err != nil {
@@ -146,7 +152,7 @@
 	const anyPort = "127.0.0.1:0"
 	store := start(t, dir, "godwitstand", "store", "--listen", anyPort).waitFor(t, `store listens on ([^; ]+);`)[0]
 	backend := start(t, dir, "godwitstand", "backend", "--listen", anyPort, "--name", "a1").waitFor(t, `listens on ([^; ]+);`)[0]
-	memory := fmt.Sprintf("memory = %d\n", budgetBytes)
+	memory := fmt.Sprintf("memory = %d\n", budget)
 	sample, err := exec.Command(filepath.Join(dir, "godwittide"), "node", "--sample").Output()
 	if err != nil {
 		t.Fatal(err)
@@ -171,7 +177,7 @@
 endpoint = "http://%[3]s"
 [limit]
 body = %[4]d
-%[5]s`, anyPort, backend, store, bodyBytes, memory)
+%[5]s`, anyPort, backend, store, maxBody, memory)
 	file := filepath.Join(t.TempDir(), "a1.toml")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
--- a/test/untrusted/untrusted_test.go
+++ b/test/untrusted/untrusted_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -142,3 +144,35 @@
 		})
 	}
 }
+
+// Guards against a budget that refuses, or copies, a single request inside the limits: a body of
+// 64 MB on a machine with 134 MB, of which the budget is 35% as on the platform.
+func TestSingleLargeBodyIsServed(t *testing.T) {
+	const size, machine = 64 << 20, 134 << 20
+	for name, reader := range map[string]func() io.Reader{
+		"length":  func() io.Reader { return bytes.NewReader(make([]byte, size)) },
+		"chunked": func() io.Reader { return io.MultiReader(bytes.NewReader(make([]byte, size))) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := startNodeWith(t, size, machine*35/100)
+			resp, err := http.Post("http://"+n.edge+"/lending/x", "", reader())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			b, err := io.ReadAll(resp.Body)
+			if err != nil || resp.StatusCode != http.StatusOK || len(b) < size {
+				t.Errorf("status %d, %d bytes, %v", resp.StatusCode, len(b), err)
+			}
+			status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.cmd.Process.Pid))
+			if err != nil {
+				t.Fatal(err)
+			}
+			peak := peakBytes(string(status))
+			t.Logf("peak of the resident memory %.1f MB (bound %.1f)", mb(peak), mb(machine))
+			if peak > machine {
+				t.Errorf("the peak of the resident memory is %.1f MB, the bound %.1f MB", mb(peak), mb(machine))
+			}
+		})
+	}
+}
