--- a/io/process/gtnode/admin.go
+++ b/io/process/gtnode/admin.go
@@ -196,6 +196,8 @@
 	n.scope.Tagged(map[string]string{"by": "load"}).Gauge("choices").Update(float64(byLoad))
 	n.scope.Tagged(map[string]string{"by": "estimate"}).Gauge("choices").Update(float64(byEstimate))
 	n.scope.Gauge("choices_other_zone").Update(float64(otherZones))
+	n.scope.Gauge("memory_used_bytes").Update(float64(n.budget.Used()))
+	n.scope.Gauge("memory_dropped").Update(float64(n.budget.DroppedCount()))
 	n.scope.Gauge("keys").Update(float64(n.dedup.Len()))
 	n.scope.Gauge("crashes").Update(float64(n.crashes.Len()))
 	gtmetric.RecordInFlight(n.scope, n.requests.Counts())
--- a/io/process/gtnode/serve.go
+++ b/io/process/gtnode/serve.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -96,6 +95,8 @@
 		}
 		if p.out == &l.hop {
 			l.hopSocket = ln
+			// Below TLS the heads can't be seen, but there each node has a certificate.
+			ln = &limitListener{Listener: ln, maxConns: int64(n.Settings.Limit.MaxNodeConnections), guardsHeads: n.credentials == nil}
 		}
 		if p.secure && n.credentials != nil {
 			ln = tls.NewListener(ln, n.credentials.Config())
@@ -171,14 +172,16 @@
 		n.servers.edgeConns.notice = closeNotice
 	}
 	n.servers.edge.ConnContext, n.servers.hop.ConnContext = gtsocket.WithConn, gtsocket.WithConn
-	edge := &limitListener{Listener: l.edge, maxConns: int64(n.Settings.Limit.MaxCallerConnections), silentTimeout: idleTimeout}
+	limit := n.Settings.Limit
+	edge := &limitListener{Listener: l.edge, maxConns: int64(limit.MaxCallerConnections), maxPerAddress: limit.MaxAddressConnections, guardsHeads: true, silentTimeout: idleTimeout}
+	admin := LimitListener(l.admin, limit.MaxAdminConnections)
 	if n.Settings.Limit.Pipeline > 1 {
 		n.servePipelining(edge, edgeHandler)
 	}
 	for _, s := range []struct {
 		server *http.Server
 		ln     net.Listener
-	}{{n.servers.edge, edge}, {n.servers.hop, l.hop}, {n.servers.admin, l.admin}} {
+	}{{n.servers.edge, edge}, {n.servers.hop, l.hop}, {n.servers.admin, admin}} {
 		s.server.ErrorLog = debugLogger(n.Log)
 		n.wg.Go(func() {
 			if err := s.server.Serve(s.ln); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
@@ -204,7 +207,8 @@
 	server, limit := n.servers.edge, n.Settings.Limit
 	pipeline := &gtpipeline.Server{
 		Handler: h, Idempotent: n.edge.IsIdempotent, Draining: n.drain.Begun,
-		Limits:       gtsequence.Limits{Requests: limit.Pipeline, RequestBytes: maxAheadBytes, ResponseBytes: maxKeptBytes},
+		Limits:  gtsequence.Limits{Requests: limit.Pipeline, RequestBytes: maxAheadBytes, ResponseBytes: maxKeptBytes},
+		Reserve: n.budget.TryReserve, Release: n.budget.Release,
 		MaxHeadBytes: limit.MaxHeadBytes, ReadTimeout: time.Duration(limit.ReadTimeout), IdleTimeout: idleTimeout,
 		OnState: n.servers.edgeConns.trackTakenOver, OnWait: resetReceived, OnRequest: n.pipelines.recordRequest,
 		OnTakeOver: n.logTakeOver, ErrorLog: debugLogger(n.Log),
@@ -264,87 +268,3 @@
 	s.edgeConns.closeTakenOver()
 	_ = s.listeners.peer.Close()
 }
-
-// limitListener limits the number of open connections: it closes further ones
-// at once.
-type limitListener struct {
-	net.Listener
-	maxConns int64
-	// silentTimeout is how long a connection may stay open before its first byte; 0 means
-	// until the read deadline that its server sets. A client may open connections before
-	// it has requests for them. One that is closed just as its first request comes fails
-	// that request, which a client does not send again if it is not idempotent.
-	silentTimeout time.Duration
-	open          atomic.Int64
-}
-
-// Accept returns the next connection within the limit.
-func (l *limitListener) Accept() (net.Conn, error) {
-	for {
-		conn, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		if l.open.Add(1) <= l.maxConns {
-			return &limitConn{Conn: conn, listener: l}, nil
-		}
-		l.open.Add(-1)
-		_ = conn.Close()
-	}
-}
-
-// limitConn is a connection that counts towards the limit of its listener. It remembers
-// whether bytes have been received.
-type limitConn struct {
-	net.Conn
-	listener *limitListener
-	once     sync.Once
-	received atomic.Bool
-	begun    atomic.Bool  // bytes have been received
-	headTime atomic.Int64 // time for the first request from its first byte on, or 0
-}
-
-// Read reads from the connection.
-func (c *limitConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.received.Store(true)
-		if d := c.headTime.Load(); !c.begun.Swap(true) && d > 0 {
-			_ = c.Conn.SetReadDeadline(time.Now().Add(time.Duration(d)))
-		}
-	}
-	return n, err
-}
-
-// SetReadDeadline sets the read deadline. Before the first byte, the time until then begins
-// with that byte, which has to come within the listener's silentTimeout.
-func (c *limitConn) SetReadDeadline(t time.Time) error {
-	left := time.Until(t)
-	if c.listener.silentTimeout == 0 || c.begun.Load() || t.IsZero() || left <= 0 {
-		return c.Conn.SetReadDeadline(t)
-	}
-	c.headTime.Store(int64(left))
-	return c.Conn.SetReadDeadline(time.Now().Add(max(left, c.listener.silentTimeout)))
-}
-
-// hasReceived reports whether bytes have been received since the last call of
-// resetReceived.
-func (c *limitConn) hasReceived() bool { return c.received.Load() }
-
-func (c *limitConn) resetReceived() { c.received.Store(false) }
-
-// resetReceived forgets that bytes have been received on a connection that waits for a request.
-func resetReceived(c net.Conn) {
-	if lc, ok := c.(*limitConn); ok {
-		lc.resetReceived()
-	}
-}
-
-// NetConn returns the connection that the limit is on.
-func (c *limitConn) NetConn() net.Conn { return c.Conn }
-
-// Close closes the connection and removes it from the listener's count.
-func (c *limitConn) Close() error {
-	c.once.Do(func() { c.listener.open.Add(-1) })
-	return c.Conn.Close()
-}
