--- a/core/request/gtadmission/gate.go
+++ b/core/request/gtadmission/gate.go
@@ -197,17 +197,8 @@
 	if len(q) == 0 {
 		g.queueEmptyAt[t.class] = now
 	}
-	if len(q) >= g.queueCapacity(t.class, now) {
-		return gtkind.New(gtkind.Full, "admission queue is full")
-	}
-	ahead := len(q) + 1
-	for c := range t.class {
-		ahead += len(g.queue[c])
-	}
-	mean := g.meanLatency[t.class]
-	wait := time.Duration(float64(mean) * float64(ahead) / g.limiter.limit)
-	if wait > min(MaxWait, t.deadline.Sub(now)-mean) {
-		return gtkind.New(gtkind.Full, "expected wait of %s in the admission queue is too long", wait.Round(time.Millisecond))
+	if _, err := g.expectedWait(t.class, t.deadline, now); err != nil {
+		return err
 	}
 	i, _ := slices.BinarySearchFunc(q, t.deadline, func(o *Ticket, d time.Time) int {
 		if o.deadline.After(d) {
@@ -219,12 +210,30 @@
 	return nil
 }
 
+// expectedWait returns how long a request would wait in the queue. The error has the kind
+// Full if the queue has no room or that is too long. It changes nothing.
+func (g *Gate) expectedWait(class gtconfig.Class, deadline, now time.Time) (time.Duration, error) {
+	ahead := len(g.queue[class]) + 1
+	for c := range class {
+		ahead += len(g.queue[c])
+	}
+	mean := g.meanLatency[class]
+	wait := time.Duration(float64(mean) * float64(ahead) / g.limiter.limit)
+	if len(g.queue[class]) >= g.queueCapacity(class, now) {
+		return wait, gtkind.New(gtkind.Full, "admission queue is full")
+	}
+	if wait > min(MaxWait, deadline.Sub(now)-mean) {
+		return wait, gtkind.New(gtkind.Full, "expected wait of %s in the admission queue is too long", wait.Round(time.Millisecond))
+	}
+	return wait, nil
+}
+
 // queueCapacity returns how many requests of the class may wait. A queue that
 // was empty within the last MaxWait holds a burst: it has room for all requests
 // that can run within MaxWait, provided that the mean latency is known. A queue
 // that stays filled for longer only delays every request, and is kept short.
 func (g *Gate) queueCapacity(class gtconfig.Class, now time.Time) int {
-	if g.meanLatency[class] == 0 || now.Sub(g.queueEmptyAt[class]) > MaxWait {
+	if g.meanLatency[class] == 0 || len(g.queue[class]) > 0 && now.Sub(g.queueEmptyAt[class]) > MaxWait {
 		return max(1, g.Slots/slotsPerQueuePlace)
 	}
 	return maxBurstQueue
--- a/core/request/gtroute/route.go
+++ b/core/request/gtroute/route.go
@@ -223,20 +223,24 @@
 		return rt.betterOfTwo(remote, route)
 	}
 	localBest := rt.betterOfTwo(local, route)
-	if len(remote) == 0 || localBest.load < fullLoad && !localBest.mayBeMuchWorse() {
+	if len(remote) == 0 || !localBest.mayLeaveZone() {
 		return localBest
 	}
-	remoteBest := rt.betterOfTwo(remote, route)
-	switch {
-	case localBest.load < fullLoad && remoteBest.load < fullLoad && localBest.muchWorseThan(remoteBest):
+	if remoteBest := rt.betterOfTwo(remote, route); localBest.spillsTo(remoteBest) {
 		return remoteBest
-	case localBest.load < fullLoad:
-		return localBest
-	case remoteBest.load < fullLoad, localBest.load-remoteBest.load >= minSpillGain:
-		return remoteBest
-	default:
-		return localBest
 	}
+	return localBest
+}
+
+// mayLeaveZone reports whether a local instance can be worse than one of another zone.
+func (c candidate) mayLeaveZone() bool { return c.load >= fullLoad || c.mayBeMuchWorse() }
+
+// spillsTo reports whether a request goes to an instance of another zone rather than to c.
+func (c candidate) spillsTo(remote candidate) bool {
+	if c.load < fullLoad {
+		return remote.load < fullLoad && c.muchWorseThan(remote)
+	}
+	return remote.load < fullLoad || c.load-remote.load >= minSpillGain
 }
 
 // betterOfTwo returns the better of two random instances, or the least loaded of
--- a/core/request/gtroute/view.go
+++ b/core/request/gtroute/view.go
@@ -115,7 +115,7 @@
 	if v != nil && (now.Sub(v.at) < viewPeriod || len(q.tried) > 0) {
 		return v
 	}
-	v = rt.newView(list, q, now)
+	v = rt.newView(list, q, rt.Zone, now)
 	rt.views.Do(q.route, func(m map[string]map[string]*view) {
 		if m[q.route] == nil {
 			m[q.route] = map[string]*view{}
@@ -125,8 +125,8 @@
 	return v
 }
 
-// newView computes the view of the instances in list.
-func (rt *Router) newView(list refs, q Query, now time.Time) *view {
+// newView computes the view of the instances in list from the given zone.
+func (rt *Router) newView(list refs, q Query, local string, now time.Time) *view {
 	v := &view{at: now, usedAt: now}
 	slowest, fastest := 0.0, 0.0
 	var work, use, works, uses, localUse, localUses float64
@@ -147,7 +147,7 @@
 			if limit := max(p.load.limit, p.reportedLimit); limit > 0 && now.Sub(later(p.loadAt, p.reportedAt)) < loadMemory {
 				use += p.meanBusy / float64(limit)
 				uses++
-				if r.Zone() == rt.Zone {
+				if r.Zone() == local {
 					localUse += p.meanBusy / float64(limit)
 					localUses++
 				}
@@ -168,17 +168,17 @@
 	if localUses > 0 {
 		v.localUse = min(localUse/localUses, 1)
 	}
-	rt.addZones(v, q.service, slots)
+	rt.addZones(v, q.service, local, slots)
 	return v
 }
 
-// addZones adds the zones in slots, the number of slots by zone, with their summaries. It
-// leaves out summaries that can't be right.
-func (rt *Router) addZones(v *view, service string, slots map[string]float64) {
+// addZones adds the zones in slots, the number of slots by zone, with the summaries of those
+// other than the local one. It leaves out summaries that can't be right.
+func (rt *Router) addZones(v *view, service, local string, slots map[string]float64) {
 	for zone, n := range slots {
 		z := zoneView{zone: zone}
 		z.roundTrip, _ = rt.roundTrips.Get(zone)
-		if zone != rt.Zone && rt.Spare != nil {
+		if zone != local && rt.Spare != nil {
 			s, ok := rt.Spare(service, zone)
 			if ok && s.capacity > 0 && s.capacity <= maxZoneSlots*n && s.spare >= 0 && s.spare <= s.capacity {
 				z.spare = s
--- a/io/process/gtnode/admin.go
+++ b/io/process/gtnode/admin.go
@@ -79,6 +79,7 @@
 	mux.HandleFunc("GET /members", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, gtwire.FromRecords(n.table.All())) })
 	mux.HandleFunc("GET /accounts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, n.AccountStatuses()) })
 	mux.HandleFunc("GET /duties", func(w http.ResponseWriter, r *http.Request) { writeJSON(w, n.dutyStatuses(r.Context())) })
+	mux.HandleFunc("GET /where", n.serveWhere)
 	mux.HandleFunc("GET /spread", func(w http.ResponseWriter, r *http.Request) { writeJSON(w, n.queryPropagation(r.Context())) })
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { _ = n.metrics.Write(w) })
 	mux.HandleFunc("POST /drain", func(w http.ResponseWriter, _ *http.Request) {
