--- a/core/request/gtroute/explain.go
+++ b/core/request/gtroute/explain.go
@@ -38,7 +38,7 @@
 	roundTrip    time.Duration
 	isLocal      bool
 	isBest       bool
-	isEstimated  bool
+	hasLate      bool
 	exclusion    Exclusion
 	ejectedUntil time.Time
 }
@@ -68,8 +68,8 @@
 func (o Option) IsLocal() bool { return o.isLocal }
 
 // Late returns the estimated probability that a response is late for the target, and false
-// for an instance that gets no request.
-func (o Option) Late() (float64, bool) { return o.estimate.late, o.isEstimated }
+// for an instance that gets no request, or if no service time is known.
+func (o Option) Late() (float64, bool) { return o.estimate.late, o.hasLate }
 
 // IsBest reports whether the instance is the best one of its version. Choices compare a few
 // random instances, so that others get requests as well.
@@ -193,7 +193,8 @@
 	var list []Option
 	for _, r := range buf.list {
 		o := rt.option(r, zone, now)
-		o.estimate, o.isEstimated = rt.estimate(r, !o.isLocal && len(buf.local) > 0, q, v, now), true
+		o.estimate = rt.estimate(r, !o.isLocal && len(buf.local) > 0, q, v, now)
+		o.hasLate = v.work > 0 || q.target != 0 && o.estimate.serviceTime > 0
 		switch {
 		case o.estimate.load >= ejectedLoad:
 			o.exclusion = ExcludedEjected
--- a/core/request/gtroute/explain_test.go
+++ b/core/request/gtroute/explain_test.go
@@ -53,6 +53,8 @@
 		"leaving": ExcludedDrain, "down": ExcludedState, "drained": ExcludedZone,
 	}))
 	best := x.Options()[0]
+	_, ok := best.Late()
+	g.Expect(ok).To(gomega.BeFalse(), "no service time is known that could tell it")
 	g.Expect([]any{best.Record().Instance(), best.IsBest(), best.Busy(), best.Limit(), best.Capacity().Concurrency()}).To(gomega.Equal([]any{"idle", true, 1, 10, 7.0}))
 	for _, o := range x.Options() {
 		if o.Exclusion() == ExcludedEjected {
@@ -110,6 +112,10 @@
 				x, err := rt.Explain(cfg, q, "z1")
 				g.Expect(err).NotTo(gomega.HaveOccurred())
 				g.Expect(x.IsByEstimate()).To(gomega.BeTrue())
+				fast, ok := x.Options()[0].Late()
+				g.Expect(ok).To(gomega.BeTrue())
+				slow, _ := x.Options()[1].Late()
+				g.Expect(fast).To(gomega.BeNumerically("<", slow))
 				g.Expect(x.Options()[0].Record().Instance()).To(gomega.Equal("fast"))
 				rt.Rand = draw
 			}
--- a/io/process/gtnode/where.go
+++ b/io/process/gtnode/where.go
@@ -52,7 +52,7 @@
 }
 
 // WhereCandidate is an instance of the service. Late is the estimated probability that a
-// response is late, unless the instance gets no request. Excluded is empty if nothing
+// response is late, if the instance may get requests and a service time is known. Excluded is empty if nothing
 // excludes it; speed and capacity are 0 if they have not been learned.
 type WhereCandidate struct {
 	Instance     string    `json:"instance"`
