Settings are read again on SIGHUP and when the file changes

Log level, trace ratio, limits on bodies and callers' connections and the rate of duty calls take effect without a restart. The parts that read these settings take functions, which their tests now pass.

--- a/cmd/godwittide/node.go
+++ b/cmd/godwittide/node.go
@@ -50,14 +50,17 @@
 	if err != nil {
 		return err
 	}
-	go signals.log(env.Context(), log)
 	gtnode.TuneGC(0)
-	node := &gtnode.Node{Settings: cfg, Log: log, SinceBoot: gtboottime.SinceBoot}
+	node := &gtnode.Node{
+		Settings: cfg, Log: log, SinceBoot: gtboottime.SinceBoot,
+		SettingsSource: gtnode.SettingsSource{Path: c.Settings, Load: gtsettings.Load, Hangups: signals, SetLogLevel: zerolog.SetGlobalLevel},
+	}
 	node.Init()
 	return node.Run(env.Context())
 }
 
-// newLog returns a logger that writes to out, with the level and format of cfg.
+// newLog returns a logger that writes to out, with the format of cfg. The level of cfg
+// becomes that of the process, since it can change later.
 func newLog(cfg gtsettings.Settings, out io.Writer) (zerolog.Logger, error) {
 	level, err := zerolog.ParseLevel(cfg.Log.Level)
 	if err != nil {
@@ -66,7 +69,8 @@
 	if cfg.Log.Format == "text" {
 		out = zerolog.ConsoleWriter{Out: out, NoColor: !isTerminal(os.Stdout)}
 	}
-	return gtlog.New(out, level, cfg.Node.Instance), nil
+	zerolog.SetGlobalLevel(level)
+	return gtlog.New(out, zerolog.TraceLevel, cfg.Node.Instance), nil
 }
 
 func isTerminal(f *os.File) bool {
--- a/cmd/godwittide/sidecar.go
+++ b/cmd/godwittide/sidecar.go
@@ -45,6 +45,5 @@
 	out := gtlog.Open(os.Stdout)
 	defer out.Close()
 	log := gtlog.New(out, level, boot.Settings().Node.Instance)
-	go signals.log(env.Context(), log)
-	return (&gtplatform.Adapter{Boot: boot, Log: log, SinceBoot: gtboottime.SinceBoot}).Run(env.Context())
+	return (&gtplatform.Adapter{Boot: boot, Log: log, SinceBoot: gtboottime.SinceBoot, BootFile: path, Hangups: signals}).Run(env.Context())
 }
--- a/io/process/gtduties/duties.go
+++ b/io/process/gtduties/duties.go
@@ -99,8 +99,8 @@
 	// Store is the platform's store, Prefix the prefix of this mesh's keys.
 	Store  *gtstore.Store
 	Prefix string
-	// Rate is the number of calls a second that the duty address accepts from all nodes.
-	Rate float64
+	// Rate returns the number of calls a second that the duty address accepts from all nodes.
+	Rate func() float64
 	// Call sends a report. It returns ErrFenced if its token was refused, and another
 	// error if it isn't known to have been accepted.
 	Call func(ctx context.Context, r Report) error
--- a/io/process/gtduties/duties_test.go
+++ b/io/process/gtduties/duties_test.go
@@ -240,7 +240,7 @@
 	terms, begun := gtduty.NewTerms(3*time.Second, true), time.Now()
 	return &Duties{
 		Timer: &gttimer.Service{}, Wall: time.Now, Uptime: func() time.Duration { return time.Since(begun) }, Log: zerolog.Nop(), Scope: tally.NoopScope,
-		Self: name, Start: start, Terms: terms, Rate: 50, Store: store, Prefix: "p/",
+		Self: name, Start: start, Terms: terms, Rate: func() float64 { return 50 }, Store: store, Prefix: "p/",
 		Timing:  gtusage.NewTiming(gtusage.NewWindows(5*time.Second), 10*time.Second, terms.Takeover()),
 		Members: func() []gtmember.Record { return members }, MaySettle: func() bool { return true },
 		IsGone: func(string) bool { return false }, MayTake: func() bool { return true }, HasAccounts: func() bool { return true },
--- a/io/process/gtduties/holder.go
+++ b/io/process/gtduties/holder.go
@@ -282,7 +282,7 @@
 func (w *worker) call(ctx context.Context, window int64) bool {
 	ctx, cancel := context.WithTimeout(ctx, w.Terms.CallTimeout())
 	defer cancel()
-	w.callAt = w.Uptime() + time.Duration(rateShare*float64(time.Second)/w.Rate)
+	w.callAt = w.Uptime() + time.Duration(rateShare*float64(time.Second)/w.Rate())
 	counts := w.ledger.Counts(window)
 	err := w.Call(ctx, NewReport(window, w.tenure.Token(), counts))
 	result := "acknowledged"
--- a/io/process/gtnode/admin.go
+++ b/io/process/gtnode/admin.go
@@ -23,22 +23,23 @@
 // Links is the number of overlay links, and ControlBytesSent and
 // ControlBytesReceived are the bytes of control messages.
 type Status struct {
-	Instance             string       `json:"instance"`
-	Zone                 string       `json:"zone"`
-	Service              string       `json:"service"`
-	BackendVersion       string       `json:"backend"`
-	State                string       `json:"state"`
-	Version              int64        `json:"version"`
-	Checksum             string       `json:"sum"`
-	ActiveSince          time.Time    `json:"since"`
-	Members              int          `json:"members"`
-	Links                int          `json:"links"`
-	Busy                 int          `json:"busy"`
-	Limit                int          `json:"limit"`
-	ControlBytesSent     int64        `json:"sent"`
-	ControlBytesReceived int64        `json:"received"`
-	IsWatcher            bool         `json:"watching"`
-	Moves                []MoveStatus `json:"moves"`
+	Instance             string         `json:"instance"`
+	Zone                 string         `json:"zone"`
+	Service              string         `json:"service"`
+	BackendVersion       string         `json:"backend"`
+	State                string         `json:"state"`
+	Version              int64          `json:"version"`
+	Checksum             string         `json:"sum"`
+	ActiveSince          time.Time      `json:"since"`
+	Members              int            `json:"members"`
+	Links                int            `json:"links"`
+	Busy                 int            `json:"busy"`
+	Limit                int            `json:"limit"`
+	ControlBytesSent     int64          `json:"sent"`
+	ControlBytesReceived int64          `json:"received"`
+	IsWatcher            bool           `json:"watching"`
+	Moves                []MoveStatus   `json:"moves"`
+	Settings             SettingsStatus `json:"settings"`
 }
 
 // MoveStatus is the state of a move as this node knows it. MissedDeadline tells that
@@ -104,6 +105,7 @@
 		Version: current.Snapshot().Version(), Checksum: current.Config().Checksum(), ActiveSince: current.ActivatedAt(),
 		Members: n.table.Len(), Links: n.overlay.CountLinks(), Busy: load.Busy(), Limit: load.Limit(),
 		ControlBytesSent: sent, ControlBytesReceived: received, IsWatcher: n.configStore != nil && n.watchRank() < gtrank.ZoneWatchers, Moves: n.moveStatuses(),
+		Settings: n.reload.current(),
 	}
 }
 
--- a/io/process/gtnode/duties.go
+++ b/io/process/gtnode/duties.go
@@ -41,7 +41,7 @@
 		Timer: n.timer, Wall: n.Wall, Uptime: n.SinceBootTime, Log: n.Log, Scope: n.scope,
 		Self: n.Settings.Node.Instance, Start: n.startTime.UnixMilli(), Terms: terms,
 		Timing: gtusage.NewTiming(gtusage.NewWindows(time.Duration(cfg.Window)), time.Duration(cfg.Late), terms.Takeover()),
-		Store:  n.Store, Prefix: n.Settings.Store.Prefix, Rate: cfg.Rate, Call: report,
+		Store:  n.Store, Prefix: n.Settings.Store.Prefix, Rate: n.dutyRate, Call: report,
 		Members: n.table.All, MaySettle: n.knowsFleet, IsGone: n.isGone, HasAccounts: n.hasAccounts,
 		MayTake: func() bool { return !n.drain.Begun() }, Send: n.overlay.SendUsage,
 	}
--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -64,6 +64,8 @@
 type Node struct {
 	// Settings are the validated settings.
 	Settings gtsettings.Settings
+	// SettingsSource is the file that the settings are read from again while the node runs.
+	SettingsSource SettingsSource
 	// Log receives all log lines of the node.
 	Log zerolog.Logger
 	// Dial opens connections to other nodes; nil means TCP. Tests simulate
@@ -159,6 +161,7 @@
 	pipelines      pipelines
 	backend        backendState
 	departures     departures
+	reload         reloader
 	recallOnce     sync.Once
 	runCtx         context.Context // ends when the node stops
 	downDamper     gtmember.Damper
@@ -182,6 +185,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	n.reload.init(n.Settings)
 	if err := n.loadTLSKeys(); err != nil {
 		return err
 	}
@@ -251,7 +255,7 @@
 		n.timer = &gttimer.Service{}
 	}
 	n.startTime = n.timer.Time()
-	tracer, err := gttrace.New(ctx, cfg.Trace.Endpoint, cfg.Trace.Ratio, cfg.Node.Instance)
+	tracer, err := gttrace.New(ctx, cfg.Trace.Endpoint, n.traceRatio, cfg.Node.Instance)
 	if err != nil {
 		return err
 	}
@@ -332,11 +336,11 @@
 	if cfg.Backend.Learn {
 		n.localBackend.Learned, n.localBackend.OnServed = n.learnedCapacity, n.observeServed
 	}
-	n.hopHandler = &gthop.Handler{LocalBackend: n.localBackend, Timer: n.timer, MaxBodyBytes: cfg.Limit.MaxBodyBytes, OnPanic: n.recordPanic, PausedSince: n.timer.PausedSince, Requests: n.requests}
+	n.hopHandler = &gthop.Handler{LocalBackend: n.localBackend, Timer: n.timer, MaxBodyBytes: n.maxBodyBytes, OnPanic: n.recordPanic, PausedSince: n.timer.PausedSince, Requests: n.requests}
 	client := &gthop.Client{Now: now, Pool: n.hopPool, Dialect: n.Dialect, MaxBufferBytes: cfg.Limit.MaxBufferBytes, Trace: n.tracer.Start}
 	n.edge = &gtedge.Edge{
 		Now: now, Self: cfg.Node.Instance, IDPrefix: cfg.Node.Instance + "-" + strconv.FormatInt(n.startTime.UnixMilli(), 36) + "-",
-		MaxBodyBytes: cfg.Limit.MaxBodyBytes, MaxHops: cfg.Limit.MaxHops, Holder: n.holder, Router: n.router, Instances: n.table.ServiceMembers,
+		MaxBodyBytes: n.maxBodyBytes, MaxHops: cfg.Limit.MaxHops, Holder: n.holder, Router: n.router, Instances: n.table.ServiceMembers,
 		Retry: n.retry, Crashes: n.crashes, OnCrash: n.mergeCrash, HistoryKnown: n.dedupHistoryKnown, LocalBackend: n.localBackend, Client: client,
 		MayBegin: n.drain.MayBegin, Closing: n.drain.Begun, OnOutcome: n.recordOutcome, OnResponse: n.recordResponse, Trace: n.tracer.Start, OnPanic: n.recordPanic,
 		Dialect: n.Dialect, Split: split, IsCurrent: n.isCurrent, OnRetry: n.logRetry, OnOmitted: n.countOmittedAttempt, Requests: n.requests,
@@ -374,6 +378,9 @@
 	}
 	n.wg.Go(func() { n.sendSummaries(ctx) })
 	n.wg.Go(func() { n.expirePeriodically(ctx) })
+	if n.SettingsSource.Path != "" {
+		n.wg.Go(func() { n.watchSettings(ctx) })
+	}
 	if n.Settings.Account.StrictRevoke {
 		n.wg.Go(func() { n.watchCurrent(ctx) })
 	}
--- a/io/process/gtnode/pipeline_test.go
+++ b/io/process/gtnode/pipeline_test.go
@@ -70,7 +70,7 @@
 		conns.trackState(c, state)
 	}}
 	s.servers.hop, s.servers.admin = &http.Server{}, &http.Server{}
-	s.listener = &limitListener{Listener: p.Listener(s.servers.listeners.edge), maxConns: 9}
+	s.listener = &limitListener{Listener: p.Listener(s.servers.listeners.edge), maxConns: func() int64 { return 9 }}
 	go func() { _ = s.servers.edge.Serve(s.listener) }()
 	t.Cleanup(s.servers.close)
 	return s
--- a/io/process/gtnode/serve.go
+++ b/io/process/gtnode/serve.go
@@ -171,7 +171,7 @@
 		n.servers.edgeConns.notice = closeNotice
 	}
 	n.servers.edge.ConnContext, n.servers.hop.ConnContext = gtsocket.WithConn, gtsocket.WithConn
-	edge := &limitListener{Listener: l.edge, maxConns: int64(n.Settings.Limit.MaxCallerConnections), silentTimeout: idleTimeout}
+	edge := &limitListener{Listener: l.edge, maxConns: n.maxCallerConns, silentTimeout: idleTimeout}
 	if n.Settings.Limit.Pipeline > 1 {
 		n.servePipelining(edge, edgeHandler)
 	}
@@ -186,7 +186,9 @@
 			}
 		})
 	}
-	n.wg.Go(func() { n.acceptPeers(ctx, &limitListener{Listener: l.peer, maxConns: maxPeerConns}) })
+	n.wg.Go(func() {
+		n.acceptPeers(ctx, &limitListener{Listener: l.peer, maxConns: func() int64 { return maxPeerConns }})
+	})
 }
 
 const (
@@ -269,7 +271,7 @@
 // at once.
 type limitListener struct {
 	net.Listener
-	maxConns int64
+	maxConns func() int64
 	// silentTimeout is how long a connection may stay open before its first byte; 0 means
 	// until the read deadline that its server sets. A client may open connections before
 	// it has requests for them. One that is closed just as its first request comes fails
@@ -285,7 +287,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if l.open.Add(1) <= l.maxConns {
+		if l.open.Add(1) <= l.maxConns() {
 			return &limitConn{Conn: conn, listener: l}, nil
 		}
 		l.open.Add(-1)
--- a/io/process/gtnode/shutdown_test.go
+++ b/io/process/gtnode/shutdown_test.go
@@ -159,7 +159,7 @@
 	}
 	h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") })
 	server := &http.Server{Handler: h, ConnState: conns.trackState, ConnContext: gtsocket.WithConn}
-	go func() { _ = server.Serve(&limitListener{Listener: ln, maxConns: 9}) }()
+	go func() { _ = server.Serve(&limitListener{Listener: ln, maxConns: func() int64 { return 9 }}) }()
 	c, err := net.Dial("tcp", ln.Addr().String())
 	if err != nil {
 		t.Fatal(err)
--- a/io/process/gtnode/silentconn_test.go
+++ b/io/process/gtnode/silentconn_test.go
@@ -25,7 +25,9 @@
 		n := &Node{}
 		n.Settings.Limit.ReadTimeout = gtsettings.Duration(10 * time.Second)
 		server := n.newServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
-		go func() { _ = server.Serve(&limitListener{Listener: ln, maxConns: 10, silentTimeout: idleTimeout}) }()
+		go func() {
+			_ = server.Serve(&limitListener{Listener: ln, maxConns: func() int64 { return 10 }, silentTimeout: idleTimeout})
+		}()
 		defer server.Close()
 		conn, err := network.Dial(context.Background(), "10.0.0.1:80")
 		g.Expect(err).NotTo(gomega.HaveOccurred())
--- a/io/process/gttrace/trace.go
+++ b/io/process/gttrace/trace.go
@@ -37,9 +37,9 @@
 }
 
 // New returns a tracer that exports its spans to the URL of an OTLP endpoint and
-// records the given share of new traces. With an empty endpoint it records
+// records the share of new traces that ratio returns. With an empty endpoint it records
 // none.
-func New(ctx context.Context, endpoint string, ratio float64, instance string) (*Tracer, error) {
+func New(ctx context.Context, endpoint string, ratio func() float64, instance string) (*Tracer, error) {
 	if endpoint == "" {
 		return &Tracer{}, nil
 	}
@@ -51,16 +51,27 @@
 }
 
 // NewWithExporter returns a tracer that sends its spans to the given exporter.
-func NewWithExporter(exporter trace.SpanExporter, ratio float64, instance string) *Tracer {
+func NewWithExporter(exporter trace.SpanExporter, ratio func() float64, instance string) *Tracer {
 	provider := trace.NewTracerProvider(
 		trace.WithBatcher(exporter),
-		trace.WithSampler(trace.ParentBased(trace.TraceIDRatioBased(ratio))),
+		trace.WithSampler(trace.ParentBased(ratioSampler{ratio})),
 		trace.WithResource(resource.NewSchemaless(
 			attribute.String("service.name", "godwittide"),
 			attribute.String("service.instance.id", instance))))
 	return &Tracer{provider: provider, tracer: provider.Tracer("godwittide")}
 }
 
+// ratioSampler records the share of traces that its function returns when they start.
+type ratioSampler struct{ ratio func() float64 }
+
+// ShouldSample decides by the ID of the trace.
+func (s ratioSampler) ShouldSample(p trace.SamplingParameters) trace.SamplingResult {
+	return trace.TraceIDRatioBased(s.ratio()).ShouldSample(p)
+}
+
+// Description returns the name of the sampler.
+func (s ratioSampler) Description() string { return "RuntimeTraceIDRatio" }
+
 // Start starts a child span of the span in ctx or, if there is none, of the trace
 // context in the header. It writes the context of the new span to the header for
 // the next hop. The returned function ends the span; an error sets its status to
--- a/io/request/gtedge/account_test.go
+++ b/io/request/gtedge/account_test.go
@@ -58,7 +58,7 @@
 	holder.Offer(gtdelta.NewSnapshot(1, 1, files), cfg)
 	noInstances := func(string) []gtmember.Record { return nil }
 	return &Edge{
-		Now: time.Now, MaxHops: 5, MaxBodyBytes: 100, Split: &gtsplit.Split{Rand: func() float64 { return 0 }}, Holder: holder, Instances: noInstances, Crashes: &gtdedup.Crashes{Now: time.Now},
+		Now: time.Now, MaxHops: 5, MaxBodyBytes: func() int { return 100 }, Split: &gtsplit.Split{Rand: func() float64 { return 0 }}, Holder: holder, Instances: noInstances, Crashes: &gtdedup.Crashes{Now: time.Now},
 		Retry: &gtretry.Policy{Now: time.Now}, Router: &gtroute.Router{Now: time.Now, Instances: noInstances},
 		Trace:      (&gttrace.Tracer{}).Start,
 		OnResponse: func(c gtcall.Call, err error, _ time.Duration) { *last, *lastErr = c, err },
--- a/io/request/gtedge/ahead_test.go
+++ b/io/request/gtedge/ahead_test.go
@@ -34,7 +34,7 @@
 	holder := &gtdelta.Holder{Now: time.Now}
 	none := func(string) []gtmember.Record { return nil }
 	e := &Edge{
-		Now: time.Now, MaxHops: 5, MaxBodyBytes: 100, Split: &gtsplit.Split{Rand: func() float64 { return 0 }}, Holder: holder, Instances: none,
+		Now: time.Now, MaxHops: 5, MaxBodyBytes: func() int { return 100 }, Split: &gtsplit.Split{Rand: func() float64 { return 0 }}, Holder: holder, Instances: none,
 		Crashes: &gtdedup.Crashes{Now: time.Now}, Retry: &gtretry.Policy{Now: time.Now}, Router: &gtroute.Router{Now: time.Now, Instances: none},
 		Trace: (&gttrace.Tracer{}).Start, OnResponse: func(_ gtcall.Call, err error, _ time.Duration) { answered(gtkind.Of(err)) },
 	}
--- a/io/request/gtedge/edge.go
+++ b/io/request/gtedge/edge.go
@@ -57,8 +57,8 @@
 	// IDPrefix is the prefix of generated request IDs. It is unique to each start
 	// of a node.
 	IDPrefix string
-	// MaxBodyBytes is the largest request body in bytes.
-	MaxBodyBytes int
+	// MaxBodyBytes returns the largest request body in bytes.
+	MaxBodyBytes func() int
 	// MaxHops is the largest number of hops in a call chain.
 	MaxHops int
 	// Holder holds the active version of the configuration.
@@ -225,7 +225,7 @@
 	bodyTimeout := cmp.Or(route.Timeout(), gtconfig.MaxTimeout)
 	bodyDeadline := start.Add(e.Dialect.ShortenTimeout(r, bodyTimeout))
 	entry.Identify(id, route.Name(), bodyDeadline)
-	body, err := gthop.ReadBody(r, entry, e.MaxBodyBytes, bodyDeadline)
+	body, err := gthop.ReadBody(r, entry, e.MaxBodyBytes(), bodyDeadline)
 	if err != nil {
 		return gtcall.New(id, r.Method, r.URL.RequestURI()).WithRoute("", route.Name(), class).WithAccount(account.Name()), err
 	}
--- a/io/request/gtedge/edge_test.go
+++ b/io/request/gtedge/edge_test.go
@@ -38,7 +38,7 @@
 		holder := &gtdelta.Holder{Now: time.Now}
 		noInstances := func(string) []gtmember.Record { return nil }
 		e := &Edge{
-			Now: time.Now, MaxHops: 5, MaxBodyBytes: 100, Split: &gtsplit.Split{Rand: func() float64 { return 0 }}, Holder: holder, Instances: noInstances, Crashes: &gtdedup.Crashes{Now: time.Now},
+			Now: time.Now, MaxHops: 5, MaxBodyBytes: func() int { return 100 }, Split: &gtsplit.Split{Rand: func() float64 { return 0 }}, Holder: holder, Instances: noInstances, Crashes: &gtdedup.Crashes{Now: time.Now},
 			Retry: &gtretry.Policy{Now: time.Now}, Router: &gtroute.Router{Now: time.Now, Instances: noInstances},
 			Trace: (&gttrace.Tracer{}).Start,
 			OnResponse: func(_ gtcall.Call, err error, _ time.Duration) {
--- a/io/request/gtedge/giveup_test.go
+++ b/io/request/gtedge/giveup_test.go
@@ -51,7 +51,7 @@
 	t.Cleanup(pool.Close)
 	self := gtmember.NewRecord(name, "z", "", "").WithBackend("lending", "1", 10).WithState(gtmember.Ready)
 	addr := serve(t, network, &gthop.Handler{
-		Timer: &gttimer.Service{}, MaxBodyBytes: 100,
+		Timer: &gttimer.Service{}, MaxBodyBytes: func() int { return 100 },
 		LocalBackend: &gthop.LocalBackend{
 			Now: time.Now, Self: func() gtmember.Record { return self }, ReadyAt: time.Now, Address: backend, MaxBufferBytes: 1000, Pool: pool,
 			Gate: &gtadmission.Gate{Now: time.Now, Slots: 10, Fixed: true}, Crashes: &gtdedup.Crashes{Now: time.Now}, Outcomes: &gtcanary.OutcomeCounter{},
@@ -73,7 +73,7 @@
 	instances := func(string) []gtmember.Record { return peers }
 	trace := (&gttrace.Tracer{}).Start
 	return &Edge{
-		Now: time.Now, MaxHops: 5, MaxBodyBytes: 100, Split: &gtsplit.Split{Rand: func() float64 { return 0 }}, Holder: holder, Instances: instances,
+		Now: time.Now, MaxHops: 5, MaxBodyBytes: func() int { return 100 }, Split: &gtsplit.Split{Rand: func() float64 { return 0 }}, Holder: holder, Instances: instances,
 		Crashes: &gtdedup.Crashes{Now: time.Now}, Retry: &gtretry.Policy{Now: time.Now}, Trace: trace,
 		Router:     &gtroute.Router{Now: time.Now, Zone: "z", Rand: func() float64 { return 0 }, Instances: instances},
 		Client:     &gthop.Client{Now: time.Now, Pool: pool, MaxBufferBytes: 1000, Trace: trace},
--- a/io/request/gthop/handler.go
+++ b/io/request/gthop/handler.go
@@ -25,8 +25,8 @@
 	LocalBackend *LocalBackend
 	// Timer provides the clock and the ticks for the keep-alives.
 	Timer *gttimer.Service
-	// MaxBodyBytes is the largest request body in bytes.
-	MaxBodyBytes int
+	// MaxBodyBytes returns the largest request body in bytes.
+	MaxBodyBytes func() int
 	// OnPanic is called with the value of each panic, which ends only its
 	// request.
 	OnPanic func(v any)
@@ -108,7 +108,7 @@
 		return gtcall.Response{}, gtkind.New(gtkind.Refused, "this is instance %s, the request is addressed to %.64q", self, instance)
 	}
 	entry := gtinflight.FromContext(ctx)
-	body, err := ReadBody(r, entry, h.MaxBodyBytes, time.Time{})
+	body, err := ReadBody(r, entry, h.MaxBodyBytes(), time.Time{})
 	if err != nil {
 		return gtcall.Response{}, err
 	}
--- a/io/request/gthop/handler_test.go
+++ b/io/request/gthop/handler_test.go
@@ -35,7 +35,7 @@
 	go timer.Run(t.Context())
 	self := func() gtmember.Record { return gtmember.NewRecord("i", "z", "", "").WithBackend("s", "1", 1) }
 	h := &Handler{
-		Timer: timer, MaxBodyBytes: 100, PausedSince: func(time.Time) bool { return true },
+		Timer: timer, MaxBodyBytes: func() int { return 100 }, PausedSince: func(time.Time) bool { return true },
 		LocalBackend: &LocalBackend{
 			Now: time.Now, Self: self, ReadyAt: time.Now, Address: backend, MaxBufferBytes: 1000, Pool: newPool(t, network, false),
 			Gate: &gtadmission.Gate{Now: time.Now, Slots: 1}, Crashes: &gtdedup.Crashes{Now: time.Now}, Outcomes: &gtcanary.OutcomeCounter{},
