--- a/io/process/gtnode/conns.go
+++ b/io/process/gtnode/conns.go
@@ -57,15 +57,19 @@
 // LimitListener returns a listener that closes connections beyond maxConns, and those whose
 // heads have too many lines.
 func LimitListener(ln net.Listener, maxConns int) net.Listener {
-	return &limitListener{Listener: ln, maxConns: int64(maxConns), guardsHeads: true}
+	return &limitListener{Listener: ln, maxConns: fixedLimit(maxConns), guardsHeads: true}
 }
 
+// fixedLimit returns a limit that does not change while the node runs.
+func fixedLimit(n int) func() int64 { return func() int64 { return int64(n) } }
+
 // limitListener limits the number of open connections, in total and for each address of the
 // other end: it closes further ones at once.
 type limitListener struct {
 	net.Listener
-	maxConns int64
-	// maxPerAddress is the limit for each address; 0 means maxConns.
+	// maxConns returns the limit in total.
+	maxConns func() int64
+	// maxPerAddress is the limit for each address; 0 means none.
 	maxPerAddress int
 	// guardsHeads bounds the lines of the heads of HTTP requests.
 	guardsHeads bool
@@ -99,7 +103,7 @@
 	if !openConnections.add() {
 		return "", false
 	}
-	if l.open.Add(1) > l.maxConns {
+	if l.open.Add(1) > l.maxConns() {
 		l.open.Add(-1)
 		openConnections.open.Add(-1)
 		return "", false
--- a/io/process/gtnode/conns_test.go
+++ b/io/process/gtnode/conns_test.go
@@ -47,7 +47,7 @@
 	g := gomega.NewWithT(t)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	l := &limitListener{Listener: ln, maxConns: 10, maxPerAddress: 2}
+	l := &limitListener{Listener: ln, maxConns: fixedLimit(10), maxPerAddress: 2}
 	defer l.Close()
 	accepted := make(chan net.Conn, 10)
 	go func() {
--- a/io/process/gtnode/serve.go
+++ b/io/process/gtnode/serve.go
@@ -96,7 +96,7 @@
 		if p.out == &l.hop {
 			l.hopSocket = ln
 			// Below TLS the heads can't be seen, but there each node has a certificate.
-			ln = &limitListener{Listener: ln, maxConns: int64(n.Settings.Limit.MaxNodeConnections), guardsHeads: n.credentials == nil}
+			ln = &limitListener{Listener: ln, maxConns: fixedLimit(n.Settings.Limit.MaxNodeConnections), guardsHeads: n.credentials == nil}
 		}
 		if p.secure && n.credentials != nil {
 			ln = tls.NewListener(ln, n.credentials.Config())
@@ -173,7 +173,7 @@
 	}
 	n.servers.edge.ConnContext, n.servers.hop.ConnContext = gtsocket.WithConn, gtsocket.WithConn
 	limit := n.Settings.Limit
-	edge := &limitListener{Listener: l.edge, maxConns: int64(limit.MaxCallerConnections), maxPerAddress: limit.MaxAddressConnections, guardsHeads: true, silentTimeout: idleTimeout}
+	edge := &limitListener{Listener: l.edge, maxConns: n.maxCallerConns, maxPerAddress: limit.MaxAddressConnections, guardsHeads: true, silentTimeout: idleTimeout}
 	admin := LimitListener(l.admin, limit.MaxAdminConnections)
 	if n.Settings.Limit.Pipeline > 1 {
 		n.servePipelining(edge, edgeHandler)
@@ -189,7 +189,9 @@
 			}
 		})
 	}
-	n.wg.Go(func() { n.acceptPeers(ctx, &limitListener{Listener: l.peer, maxConns: maxPeerConns}) })
+	n.wg.Go(func() {
+		n.acceptPeers(ctx, &limitListener{Listener: l.peer, maxConns: fixedLimit(maxPeerConns)})
+	})
 }
 
 const (
--- a/io/request/gtedge/edge.go
+++ b/io/request/gtedge/edge.go
@@ -58,8 +58,8 @@
 	// IDPrefix is the prefix of generated request IDs. It is unique to each start
 	// of a node.
 	IDPrefix string
-	// MaxBodyBytes is the largest request body in bytes.
-	MaxBodyBytes int
+	// MaxBodyBytes returns the largest request body in bytes.
+	MaxBodyBytes func() int
 	// Budget is the budget of bytes that bodies and responses count in; nil means none.
 	Budget *gtbudget.Budget
 	// MaxHops is the largest number of hops in a call chain.
@@ -231,7 +231,7 @@
 	bodyTimeout := cmp.Or(route.Timeout(), gtconfig.MaxTimeout)
 	bodyDeadline := start.Add(e.Dialect.ShortenTimeout(r, bodyTimeout))
 	entry.Identify(id, route.Name(), bodyDeadline)
-	body, err := hold.ReadBody(r, entry, e.MaxBodyBytes, bodyDeadline)
+	body, err := hold.ReadBody(r, entry, e.MaxBodyBytes(), bodyDeadline)
 	if err != nil {
 		return gtcall.New(id, r.Method, r.URL.RequestURI()).WithRoute("", route.Name(), class).WithAccount(account.Name()), err
 	}
