gtadmission: requests wait by their target and deadline, and senders share the gate

Callers saw: under lasting overload most responses came after the target, since all of the 250 ms that a request was allowed to wait was the target itself; one account or calling service that sent more than its part took it from the others; the least urgent classes got nothing at all.

Cause: one bound for all waits, one queue for each class in the order of deadlines, and strict order of classes.

Change: gtadmission.Request replaces the arguments of Gate.Enter. A request waits while its response can be in time for its target (the route's, sent between nodes in Gt-Target); one that would be late waits only while slots are left, behind all that can be in time; one that can't meet its deadline is refused, or dropped from the queue. Requests that backend servers make while they run others go before the other classes, and the most urgent level in use keeps as much room as it uses in the mean, a fifth at most. Each level that waits keeps a twentieth of the capacity. Within a level accounts, or else calling services (Gt-Caller, Call.Caller), share by deficit round robin; a sender that was served more loses its place in a full queue to one that was served less, except below the guaranteed quarter of the served fraction of all. Refusals have a time to wait: from the measured time between two completions, successive, with room kept for callers that return when they were told; it crosses a hop in Gt-Wait and reaches callers as Retry-After. The adaptive limit and the warm-up rate are unchanged.

Tests changed: Enter takes a Request; MaxWait is now noTargetWait, with the same value, as it holds for requests without a target; retryAfter of gtplatform takes the error.

--- a/core/request/gtadmission/warmup.go
+++ b/core/request/gtadmission/warmup.go
@@ -42,6 +42,14 @@
 	w.refilledAt = now
 }
 
+// gap returns the time between two requests by the rate limit, or 0 after the warm-up.
+func (w *warmUpLimiter) gap(now time.Time) time.Duration {
+	if !now.Before(w.until) || w.rate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(time.Second) / w.rate)
+}
+
 // exhausted reports whether the backend server is warming up and no token is
 // available.
 func (w *warmUpLimiter) exhausted(now time.Time) bool {
--- a/core/request/gtcall/call.go
+++ b/core/request/gtcall/call.go
@@ -44,6 +44,9 @@
 	crashes       int
 	maxBackends   int
 	deadline      time.Time
+	targetTime    time.Time
+	caller        string
+	isNested      bool
 }
 
 // New returns a call. The ID must be unique among the calls in flight; the target
@@ -119,6 +122,17 @@
 // Deadline returns the time at which the caller stops waiting.
 func (c Call) Deadline() time.Time { return c.deadline }
 
+// TargetTime returns the time up to which a response has its full value, or the zero time if
+// the route has no target latency.
+func (c Call) TargetTime() time.Time { return c.targetTime }
+
+// Caller returns the service of the node that the caller sent the request to, which is that
+// of the backend server for the calls that backend servers make, or "" if it is unknown.
+func (c Call) Caller() string { return c.caller }
+
+// IsNested reports whether a backend server makes the call while it runs a request.
+func (c Call) IsNested() bool { return c.isNested }
+
 // Fingerprint returns a hash of the service, method, target and body.
 func (c Call) Fingerprint() uint64 { return gtdedup.Fingerprint(c.service, c.method, c.target, c.body) }
 
@@ -204,6 +218,26 @@
 	return c
 }
 
+// WithTargetTime returns a copy with the time up to which a response has its full value; the
+// zero time means that there is none.
+func (c Call) WithTargetTime(t time.Time) Call {
+	c.targetTime = t
+	return c
+}
+
+// WithCaller returns a copy with the calling service.
+func (c Call) WithCaller(service string) Call {
+	c.caller = service
+	return c
+}
+
+// WithNested returns a copy that is marked as made by a backend server while that runs a
+// request, or not.
+func (c Call) WithNested(nested bool) Call {
+	c.isNested = nested
+	return c
+}
+
 // Response is a backend server's response. Its body is either in memory or a
 // stream that the receiver must close.
 type Response struct {
--- a/core/request/gtkind/kind.go
+++ b/core/request/gtkind/kind.go
@@ -215,6 +215,7 @@
 var (
 	namespace    = errorx.NewNamespace("godwittide")
 	kindProperty = errorx.RegisterPrintableProperty("kind")
+	waitProperty = errorx.RegisterProperty("wait")
 	errorType    = namespace.NewType("request")
 )
 
@@ -246,6 +247,27 @@
 	return k
 }
 
+// WithWait returns err, which must be one of New or Wrap, with the time after which the
+// caller is to come back.
+func WithWait(err error, d time.Duration) error {
+	e := errorx.Cast(err)
+	if e == nil {
+		return err
+	}
+	return e.WithProperty(waitProperty, d)
+}
+
+// WaitOf returns the time after which the caller is to come back, and false if err has
+// none.
+func WaitOf(err error) (time.Duration, bool) {
+	v, ok := errorx.ExtractProperty(err, waitProperty)
+	if !ok {
+		return 0, false
+	}
+	d, ok := v.(time.Duration)
+	return d, ok
+}
+
 // Detail returns the message of err without its error type and kind.
 func Detail(err error) string {
 	if e := errorx.Cast(err); e != nil {
--- a/core/request/gtkind/kind_test.go
+++ b/core/request/gtkind/kind_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 )
@@ -52,6 +53,14 @@
 	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("connection reset")))
 	g.Expect(Of(Wrap(err, Crashed, "backend server crashed"))).To(gomega.Equal(Crashed), "the outer kind takes precedence")
 	g.Expect(Of(cause)).To(gomega.Equal(Internal))
+	_, ok := WaitOf(err)
+	g.Expect(ok).To(gomega.BeFalse())
+	refusal := WithWait(New(Full, "no room"), time.Second)
+	wait, ok := WaitOf(refusal)
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(wait).To(gomega.Equal(time.Second))
+	g.Expect(Of(refusal)).To(gomega.Equal(Full))
+	g.Expect(Detail(refusal)).To(gomega.Equal("no room"))
 	g.Expect(Of(nil)).To(gomega.Equal(None))
 	g.Expect(Detail(New(Full, "queue of %s", "x"))).To(gomega.Equal("queue of x"))
 	g.Expect(Detail(cause)).To(gomega.Equal("connection reset"))
--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -298,7 +298,7 @@
 	n.hopHandler = &gthop.Handler{LocalBackend: n.localBackend, Timer: n.timer, MaxBodyBytes: cfg.Limit.MaxBodyBytes, OnPanic: n.recordPanic, PausedSince: n.timer.PausedSince, Requests: n.requests}
 	client := &gthop.Client{Now: now, Pool: n.hopPool, Dialect: n.Dialect, MaxBufferBytes: cfg.Limit.MaxBufferBytes, Trace: n.tracer.Start}
 	n.edge = &gtedge.Edge{
-		Now: now, Self: cfg.Node.Instance, IDPrefix: cfg.Node.Instance + "-" + strconv.FormatInt(n.startTime.UnixMilli(), 36) + "-",
+		Now: now, Self: cfg.Node.Instance, Service: cfg.Backend.Service, IDPrefix: cfg.Node.Instance + "-" + strconv.FormatInt(n.startTime.UnixMilli(), 36) + "-",
 		MaxBodyBytes: cfg.Limit.MaxBodyBytes, MaxHops: cfg.Limit.MaxHops, Holder: n.holder, Router: n.router, Instances: n.table.ServiceMembers,
 		Retry: n.retry, Crashes: n.crashes, OnCrash: n.mergeCrash, HistoryKnown: n.dedupHistoryKnown, LocalBackend: n.localBackend, Client: client,
 		MayBegin: n.drain.MayBegin, Closing: n.drain.Begun, OnOutcome: n.recordOutcome, OnResponse: n.recordResponse, Trace: n.tracer.Start, OnPanic: n.recordPanic,
--- a/io/request/gtedge/edge.go
+++ b/io/request/gtedge/edge.go
@@ -52,6 +52,8 @@
 	Now func() time.Time
 	// Self is the name of this node's instance.
 	Self string
+	// Service is the service of this node's backend server.
+	Service string
 	// IDPrefix is the prefix of generated request IDs. It is unique to each start
 	// of a node.
 	IDPrefix string
@@ -210,7 +212,7 @@
 	header := gthop.ForwardableHeader(r.Header)
 	header.Set("Host", r.Host)
 	service := route.Service(e.Split.Draw(route.Name()))
-	return gtcall.New(id, r.Method, r.URL.RequestURI()).
+	c := gtcall.New(id, r.Method, r.URL.RequestURI()).
 		WithHeader(header).
 		WithBody(body).
 		WithRoute(service, route.Name(), route.Class()).
@@ -219,7 +221,11 @@
 		WithRetry(r.Header.Get(gthop.HeaderRetry) == "1").
 		WithHops(hops).
 		WithMaxBackends(route.MaxAttempts()).
-		WithDeadline(start.Add(e.Dialect.ShortenTimeout(r, e.timeout(cfg, route, service)))), nil
+		WithDeadline(start.Add(e.Dialect.ShortenTimeout(r, e.timeout(cfg, route, service))))
+	if route.Target() > 0 {
+		c = c.WithTargetTime(start.Add(route.Target()))
+	}
+	return e.Dialect.MarkCaller(c, r, e.Service), nil
 }
 
 // Expire deletes the state of routes that the active configuration no longer has.
--- a/io/request/gthop/client.go
+++ b/io/request/gthop/client.go
@@ -112,5 +112,6 @@
 	if resp.Stream() != nil {
 		resp.Stream().Close()
 	}
-	return gtcall.Response{}.WithLoad(meta.load), gtkind.New(meta.kind, "instance %s: %s", to.Instance(), resp.Body())
+	err = gtkind.New(meta.kind, "instance %s: %s", to.Instance(), resp.Body())
+	return gtcall.Response{}.WithLoad(meta.load), withWait(err, httpResp.Header)
 }
--- a/io/request/gthop/dialect.go
+++ b/io/request/gthop/dialect.go
@@ -20,6 +20,12 @@
 	// RemainingTime returns the remaining time until the caller's deadline, and
 	// false if the request doesn't state it.
 	RemainingTime func(r *http.Request) (time.Duration, bool)
+	// CallerService returns the service that a request to the edge comes from, as this node
+	// knows it.
+	CallerService func(r *http.Request) string
+	// IsNested reports whether a request with the given number of hops in HeaderHops comes
+	// from a backend server that runs another. Nil means that such a request has hops.
+	IsNested func(r *http.Request, hops int) bool
 	// BackendHeaderFields are the header fields that SetBackendHeader sets for each
 	// request to the backend server. They are removed from requests between nodes.
 	BackendHeaderFields []string
@@ -44,6 +50,28 @@
 	return fallback()
 }
 
+// isNested reports whether a request comes from a backend server that runs another.
+func (d Dialect) isNested(r *http.Request, hops int) bool {
+	if d.IsNested != nil {
+		return d.IsNested(r, hops)
+	}
+	return hops > 0
+}
+
+// MarkCaller returns the call with what this node knows of the sender of its request: its
+// service, and whether a backend server makes the call while it runs another. self is the
+// service of this node's backend server.
+func (d Dialect) MarkCaller(c gtcall.Call, r *http.Request, self string) gtcall.Call {
+	nested := d.isNested(r, c.Hops())
+	switch {
+	case d.CallerService != nil:
+		c = c.WithCaller(d.CallerService(r))
+	case nested:
+		c = c.WithCaller(self)
+	}
+	return c.WithNested(nested)
+}
+
 // ShortenTimeout returns the shorter of timeout and the remaining time until the
 // caller's deadline, if the request states it.
 func (d Dialect) ShortenTimeout(r *http.Request, timeout time.Duration) time.Duration {
--- a/io/request/gthop/handler.go
+++ b/io/request/gthop/handler.go
@@ -77,6 +77,7 @@
 	k := gtkind.Of(err)
 	detail := gtkind.Detail(err)
 	w.Header().Set(HeaderResponse, encodeResponseMeta(h.responseMeta(meta, k)))
+	setWait(w.Header(), err)
 	w.Header()["Content-Type"] = nil
 	w.Header().Set("Content-Length", strconv.Itoa(len(detail)))
 	w.WriteHeader(k.Row().Status())
--- a/io/request/gthop/header.go
+++ b/io/request/gthop/header.go
@@ -41,6 +41,13 @@
 	// HeaderVersion holds the version of the backend server that the sender of a call
 	// picked in a move.
 	HeaderVersion = "Gt-Version"
+	// HeaderCaller holds the calling service of a call between nodes.
+	HeaderCaller = "Gt-Caller"
+	// HeaderTarget holds the time until the target of a call between nodes, in milliseconds.
+	HeaderTarget = "Gt-Target"
+	// HeaderWait holds the time after which the caller of a refused call is to come back, in
+	// milliseconds, in error responses between nodes.
+	HeaderWait = "Gt-Wait"
 	// HeaderResponse holds the metadata of a response between nodes; see
 	// encodeResponseMeta.
 	HeaderResponse = "Gt-Answer"
@@ -52,7 +59,7 @@
 )
 
 // nodeFields are the header fields that only a node may set.
-var nodeFields = []string{HeaderID, HeaderCall, HeaderVersion, HeaderResponse, HeaderKind, HeaderCertainty}
+var nodeFields = []string{HeaderID, HeaderCall, HeaderVersion, HeaderCaller, HeaderTarget, HeaderWait, HeaderResponse, HeaderKind, HeaderCertainty}
 
 // backendFields are computed for each request to the backend server. They are
 // removed from requests between nodes.
--- a/io/request/gthop/localbackend.go
+++ b/io/request/gthop/localbackend.go
@@ -189,7 +189,7 @@
 	if err := b.checkMayRun(c); err != nil {
 		return reject(err)
 	}
-	ticket, err := b.Gate.Enter(c.Class(), c.Deadline())
+	ticket, err := b.Gate.Enter(admissionRequest(c))
 	if err != nil {
 		return reject(err)
 	}
@@ -197,6 +197,9 @@
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline())
 	select {
 	case <-ticket.Granted():
+	case <-ticket.Dropped():
+		cancel()
+		return reject(ticket.Err())
 	case <-ctx.Done():
 		ticket.Abandon()
 		cancel()
@@ -216,6 +219,12 @@
 	return resp, err
 }
 
+// admissionRequest returns what the admission gate has to know of a call.
+func admissionRequest(c gtcall.Call) gtadmission.Request {
+	return gtadmission.NewRequest(c.Class(), c.Deadline()).WithTarget(c.TargetTime()).WithRoute(c.Route()).
+		WithCaller(c.Caller()).WithNested(c.IsNested())
+}
+
 func (b *LocalBackend) checkMayRun(c gtcall.Call) error {
 	if b.MayRun == nil {
 		return nil
--- a/io/request/gthop/metadata.go
+++ b/io/request/gthop/metadata.go
@@ -36,14 +36,15 @@
 	flagReleasedByAll = "a"
 	flagLookupOnly    = "f"
 	flagLastAttempt   = "l"
+	flagNested        = "c"
 )
 
 // encodeCall sets HeaderCall to the metadata of a call to the given instance, as
 // id/instance/remaining/flags/class/service/route/hops/crashes. Each part is
 // percent-encoded, and the remaining time is in milliseconds. The ID is empty if
 // the caller chose it, as the caller's own header field carries it already. The
-// version goes into HeaderVersion, which nodes without it ignore. The
-// fields that are set for each request to the backend server are removed.
+// version goes into HeaderVersion, the calling service into HeaderCaller and the time until
+// the target into HeaderTarget, which nodes without them ignore. The fields that are set for each request to the backend server are removed.
 func (d Dialect) encodeCall(r *http.Request, c gtcall.Call, instance string, now time.Time) {
 	for _, f := range backendFields {
 		delete(r.Header, f)
@@ -58,7 +59,8 @@
 	meta[metaInstance] = instance
 	meta[metaRemaining] = strconv.FormatInt(c.Deadline().Sub(now).Milliseconds(), 10)
 	meta[metaFlags] = flagIf(flagNonIdempotent, !c.Idempotent()) + flagIf(flagRetry, c.IsRetry()) + flagIf(flagResend, c.IsResend()) +
-		flagIf(flagReleasedByAll, c.ReleasedByAll()) + flagIf(flagLookupOnly, c.LookupOnly()) + flagIf(flagLastAttempt, c.IsLastAttempt())
+		flagIf(flagReleasedByAll, c.ReleasedByAll()) + flagIf(flagLookupOnly, c.LookupOnly()) + flagIf(flagLastAttempt, c.IsLastAttempt()) +
+		flagIf(flagNested, c.IsNested())
 	meta[metaClass] = c.Class().String()
 	meta[metaService], meta[metaRoute] = c.Service(), c.Route()
 	meta[metaHops], meta[metaCrashes] = strconv.Itoa(c.Hops()), strconv.Itoa(c.Crashes())
@@ -69,6 +71,12 @@
 	if c.Version() != "" {
 		r.Header.Set(HeaderVersion, url.PathEscape(c.Version()))
 	}
+	if c.Caller() != "" {
+		r.Header.Set(HeaderCaller, url.PathEscape(c.Caller()))
+	}
+	if !c.TargetTime().IsZero() {
+		r.Header.Set(HeaderTarget, strconv.FormatInt(c.TargetTime().Sub(now).Milliseconds(), 10))
+	}
 }
 
 func noID() string { return "" }
@@ -124,6 +132,10 @@
 	if err != nil {
 		return c, gtkind.Wrap(err, gtkind.BadRequest, "unescape header %s of a request from a peer", HeaderVersion)
 	}
+	caller, err := url.PathUnescape(r.Header.Get(HeaderCaller))
+	if err != nil {
+		return c, gtkind.Wrap(err, gtkind.BadRequest, "unescape header %s of a request from a peer", HeaderCaller)
+	}
 	has := func(flag string) bool { return strings.Contains(meta[metaFlags], flag) }
 	if has(flagLookupOnly) {
 		c = c.WithLookupOnly()
@@ -135,12 +147,42 @@
 		WithKey(r.Header.Get(HeaderIdempotencyKey), has(flagResend), has(flagReleasedByAll)).
 		WithRetry(has(flagRetry)).
 		WithLastAttempt(has(flagLastAttempt)).
+		WithNested(has(flagNested)).
+		WithCaller(caller).
+		WithTargetTime(targetTime(r, now)).
 		WithHops(hops).
 		WithCrashes(crashes).
 		WithDeadline(now.Add(time.Duration(remaining) * time.Millisecond)).
 		WithHeader(ForwardableHeader(r.Header)), nil
 }
 
+// targetTime returns the time of the target in HeaderTarget, or the zero time if the field is
+// missing or invalid. A target that has passed is before now.
+func targetTime(r *http.Request, now time.Time) time.Time {
+	ms, err := strconv.ParseInt(r.Header.Get(HeaderTarget), 10, 64)
+	if maxMS := gtconfig.MaxTimeout.Milliseconds(); err != nil || ms > maxMS || ms < -maxMS {
+		return time.Time{}
+	}
+	return now.Add(time.Duration(ms) * time.Millisecond)
+}
+
+// setWait sets HeaderWait to the time after which the caller is to come back, if err has
+// one.
+func setWait(h http.Header, err error) {
+	if d, ok := gtkind.WaitOf(err); ok {
+		h.Set(HeaderWait, strconv.FormatInt(d.Milliseconds(), 10))
+	}
+}
+
+// withWait returns err with the time in HeaderWait, if the field is present and valid.
+func withWait(err error, h http.Header) error {
+	ms, parseErr := strconv.ParseInt(h.Get(HeaderWait), 10, 64)
+	if parseErr != nil || ms < 0 || ms > gtconfig.MaxTimeout.Milliseconds() {
+		return err
+	}
+	return gtkind.WithWait(err, time.Duration(ms)*time.Millisecond)
+}
+
 // responseMeta is the metadata that a peer adds to a response: the request ID,
 // the load of its backend server, and the error kind, or None.
 type responseMeta struct {
--- a/io/request/gthop/metadata_test.go
+++ b/io/request/gthop/metadata_test.go
@@ -32,7 +32,11 @@
 			WithVersion(rapid.SampledFrom([]string{"", "1", "v 2/%"}).Draw(t, "version")).
 			WithIdempotent(flag.Draw(t, "idempotent")).WithKey("k", flag.Draw(t, "resend"), flag.Draw(t, "released by all")).
 			WithRetry(flag.Draw(t, "retry")).WithHops(rapid.IntRange(0, 20).Draw(t, "hops")).WithCrashes(rapid.IntRange(0, 2).Draw(t, "crashes")).
-			WithDeadline(now.Add(250 * time.Millisecond)).WithBody([]byte("b"))
+			WithDeadline(now.Add(250 * time.Millisecond)).WithBody([]byte("b")).
+			WithCaller(rapid.SampledFrom([]string{"", "lending", "l /%"}).Draw(t, "caller")).WithNested(flag.Draw(t, "nested"))
+		if flag.Draw(t, "target") {
+			c = c.WithTargetTime(now.Add(time.Duration(rapid.IntRange(-500, 500).Draw(t, "until target")) * time.Millisecond))
+		}
 		if flag.Draw(t, "lookup only") {
 			c = c.WithLookupOnly()
 		}
@@ -57,6 +61,26 @@
 	})
 }
 
+// The time to wait of a refusal reaches the node that the caller is connected to. Peers that
+// don't know the field, or send nonsense, leave the error as it is.
+func TestWaitCrossesAHop(t *testing.T) {
+	g := gomega.NewWithT(t)
+	refusal := gtkind.New(gtkind.Full, "no room")
+	h := http.Header{}
+	setWait(h, refusal)
+	g.Expect(h).To(gomega.BeEmpty())
+	setWait(h, gtkind.WithWait(refusal, 137*time.Millisecond))
+	g.Expect(h).To(gomega.Equal(http.Header{"Gt-Wait": {"137"}}))
+	wait, ok := gtkind.WaitOf(withWait(gtkind.New(gtkind.Full, "instance i: no room"), h))
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(wait).To(gomega.Equal(137 * time.Millisecond))
+	for _, v := range []string{"", "-1", "x", "99999999999"} {
+		_, ok := gtkind.WaitOf(withWait(refusal, http.Header{"Gt-Wait": {v}}))
+		g.Expect(ok).To(gomega.BeFalse(), v)
+	}
+	g.Expect(ForwardableHeader(http.Header{"Gt-Wait": {"1"}, "Gt-Caller": {"s"}, "Gt-Target": {"1"}})).To(gomega.BeEmpty(), "only nodes may set them")
+}
+
 func TestHopForwardsCallerHeader(t *testing.T) {
 	g := gomega.NewWithT(t)
 	c := gtcall.New("id-1", "GET", "/").WithRoute("s", "r", gtconfig.Normal).WithDeadline(time.Unix(1001, 0))
--- a/io/request/gthop/response.go
+++ b/io/request/gthop/response.go
@@ -24,14 +24,18 @@
 func WriteError(w http.ResponseWriter, err error) {
 	k := gtkind.Of(err)
 	row := k.Row()
-	b, _ := json.Marshal(ErrorBody{Kind: row.Name(), Certainty: row.Certainty().String(), Detail: gtkind.Detail(err), RetryAfterMS: row.RetryAfter().Milliseconds()})
+	wait, ok := gtkind.WaitOf(err)
+	if !ok {
+		wait = row.RetryAfter()
+	}
+	b, _ := json.Marshal(ErrorBody{Kind: row.Name(), Certainty: row.Certainty().String(), Detail: gtkind.Detail(err), RetryAfterMS: wait.Milliseconds()})
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set("Content-Length", strconv.Itoa(len(b)))
 	h.Set(HeaderKind, row.Name())
 	h.Set(HeaderCertainty, row.Certainty().String())
-	if row.RetryAfter() > 0 {
-		h.Set("Retry-After", strconv.Itoa(int((row.RetryAfter()+time.Second-1)/time.Second)))
+	if wait > 0 {
+		h.Set("Retry-After", strconv.Itoa(int((wait+time.Second-1)/time.Second)))
 	}
 	w.WriteHeader(row.Status())
 	_, _ = w.Write(b)
