--- a/io/request/gthop/header.go
+++ b/io/request/gthop/header.go
@@ -48,6 +48,11 @@
 	// HeaderWait holds the time after which the caller of a refused call is to come back, in
 	// milliseconds, in error responses between nodes.
 	HeaderWait = "Gt-Wait"
+	// HeaderKey holds the key of the caller's client account.
+	HeaderKey = "Gt-Key"
+	// HeaderAccount holds the name of the client account, between nodes and in a
+	// request to the backend server.
+	HeaderAccount = "Gt-Account"
 	// HeaderResponse holds the metadata of a response between nodes; see
 	// encodeResponseMeta.
 	HeaderResponse = "Gt-Answer"
@@ -59,7 +64,9 @@
 )
 
 // nodeFields are the header fields that only a node may set.
-var nodeFields = []string{HeaderID, HeaderCall, HeaderVersion, HeaderCaller, HeaderTarget, HeaderWait, HeaderResponse, HeaderKind, HeaderCertainty}
+var nodeFields = []string{
+	HeaderID, HeaderCall, HeaderVersion, HeaderAccount, HeaderCaller, HeaderTarget, HeaderWait, HeaderResponse, HeaderKind, HeaderCertainty,
+}
 
 // backendFields are computed for each request to the backend server. They are
 // removed from requests between nodes.
--- a/io/request/gthop/metadata.go
+++ b/io/request/gthop/metadata.go
@@ -43,8 +43,10 @@
 // id/instance/remaining/flags/class/service/route/hops/crashes. Each part is
 // percent-encoded, and the remaining time is in milliseconds. The ID is empty if
 // the caller chose it, as the caller's own header field carries it already. The
-// version goes into HeaderVersion, the calling service into HeaderCaller and the time until
-// the target into HeaderTarget, which nodes without them ignore. The fields that are set for each request to the backend server are removed.
+// version goes into HeaderVersion, the account's name into HeaderAccount, the calling
+// service into HeaderCaller and the time until the target into HeaderTarget, which
+// nodes without them ignore. The fields that are set for each request to the backend
+// server are removed.
 func (d Dialect) encodeCall(r *http.Request, c gtcall.Call, instance string, now time.Time) {
 	for _, f := range backendFields {
 		delete(r.Header, f)
@@ -77,6 +79,9 @@
 	if !c.TargetTime().IsZero() {
 		r.Header.Set(HeaderTarget, strconv.FormatInt(c.TargetTime().Sub(now).Milliseconds(), 10))
 	}
+	if c.Account() != "" {
+		r.Header.Set(HeaderAccount, url.PathEscape(c.Account()))
+	}
 }
 
 func noID() string { return "" }
@@ -136,6 +141,10 @@
 	if err != nil {
 		return c, gtkind.Wrap(err, gtkind.BadRequest, "unescape header %s of a request from a peer", HeaderCaller)
 	}
+	account, err := url.PathUnescape(r.Header.Get(HeaderAccount))
+	if err != nil {
+		return c, gtkind.Wrap(err, gtkind.BadRequest, "unescape header %s of a request from a peer", HeaderAccount)
+	}
 	has := func(flag string) bool { return strings.Contains(meta[metaFlags], flag) }
 	if has(flagLookupOnly) {
 		c = c.WithLookupOnly()
@@ -143,6 +152,7 @@
 	return c.WithBody(body).
 		WithRoute(meta[metaService], meta[metaRoute], gtconfig.ParseClass(meta[metaClass])).
 		WithVersion(version).
+		WithAccount(account).
 		WithIdempotent(!has(flagNonIdempotent)).
 		WithKey(r.Header.Get(HeaderIdempotencyKey), has(flagResend), has(flagReleasedByAll)).
 		WithRetry(has(flagRetry)).
