gtthrottle: nodes throttle requests that servers would refuse

Callers saw: 18,489 of 107,042 arrivals at the servers of one service were refused there, after a hop, and often after a second one. Requests ran whose calls to other services were then refused, so that their work was wasted.

Cause: nothing that a node learned from refusals kept it from sending the next request.

Change: core/request/gtthrottle. A node to which several servers of a service (or the only one) refuse requests of a class sends a share of them only. The share falls by a fifth with refusals and grows with other answers, quickly once servers report spare slots. The part that isn't sent is taken from the senders (accounts, or calling services) that offer most; each keeps a quarter of the common share. A refused request of a throttled class is not tried at another server. Calls counts the nested calls of the backend server and lowers the share of requests that the gate admits while those calls are refused.

--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -36,6 +36,7 @@
 	"godwittide/core/request/gtretry"
 	"godwittide/core/request/gtroute"
 	"godwittide/core/request/gtsplit"
+	"godwittide/core/request/gtthrottle"
 	"godwittide/core/version/gtcanary"
 	"godwittide/core/version/gtconfig"
 	"godwittide/core/version/gtdelta"
@@ -117,6 +118,7 @@
 	overlay     *gtoverlay.Overlay
 
 	gate         *gtadmission.Gate
+	throttle     *gtthrottle.Throttle
 	dedup        *gtdedup.Keys
 	retry        *gtretry.Policy
 	router       *gtroute.Router
@@ -274,7 +276,9 @@
 	n.requests = &gtinflight.Table{Now: now}
 	n.metrics = gtmetric.New()
 	n.scope = n.metrics.Scope()
-	n.gate = &gtadmission.Gate{Now: now, Slots: cfg.Backend.Slots, Fixed: cfg.Backend.FixedLimit, PausedSince: n.timer.PausedSince}
+	calls := &gtthrottle.Calls{Now: now}
+	n.throttle = &gtthrottle.Throttle{Now: now}
+	n.gate = &gtadmission.Gate{CallsAdmitted: calls.AdmittedShare, Now: now, Slots: cfg.Backend.Slots, Fixed: cfg.Backend.FixedLimit, PausedSince: n.timer.PausedSince}
 	n.dedup = &gtdedup.Keys{Now: now}
 	split := &gtsplit.Split{Rand: rand.Float64}
 	n.retry = &gtretry.Policy{Now: now}
@@ -288,7 +292,7 @@
 	}
 	n.localBackend = &gthop.LocalBackend{
 		Now: now, Self: n.table.Self, Address: cfg.Backend.Address, MaxBufferBytes: cfg.Limit.MaxBufferBytes, Pool: n.backendPool,
-		Gate: n.gate, Keys: n.dedup, Crashes: n.crashes, Outcomes: n.outcomes,
+		Gate: n.gate, Calls: calls, Keys: n.dedup, Crashes: n.crashes, Outcomes: n.outcomes,
 		HistoryKnown: n.dedupHistoryKnown, OnCrash: n.announceCrash, CheckDown: n.probeDown, MayRun: n.mayRun, ReadyAt: n.backend.readyTime, Trace: n.tracer.Start,
 		Dialect: n.Dialect, OnResult: n.logBackendCall, OnOmitted: n.countOmitted, HasAccounts: n.hasAccounts,
 	}
@@ -302,7 +306,7 @@
 		MaxBodyBytes: cfg.Limit.MaxBodyBytes, MaxHops: cfg.Limit.MaxHops, Holder: n.holder, Router: n.router, Instances: n.table.ServiceMembers,
 		Retry: n.retry, Crashes: n.crashes, OnCrash: n.mergeCrash, HistoryKnown: n.dedupHistoryKnown, LocalBackend: n.localBackend, Client: client,
 		MayBegin: n.drain.MayBegin, Closing: n.drain.Begun, OnOutcome: n.recordOutcome, OnResponse: n.recordResponse, Trace: n.tracer.Start, OnPanic: n.recordPanic,
-		Dialect: n.Dialect, Split: split, OnRetry: n.logRetry, OnOmitted: n.countOmittedAttempt, Requests: n.requests,
+		Dialect: n.Dialect, Split: split, Throttle: n.throttle, Calls: calls, OnRetry: n.logRetry, OnOmitted: n.countOmittedAttempt, Requests: n.requests,
 	}
 }
 
--- a/io/request/gtedge/edge.go
+++ b/io/request/gtedge/edge.go
@@ -29,6 +29,7 @@
 	"godwittide/core/request/gtretry"
 	"godwittide/core/request/gtroute"
 	"godwittide/core/request/gtsplit"
+	"godwittide/core/request/gtthrottle"
 	"godwittide/core/version/gtaccount"
 	"godwittide/core/version/gtcanary"
 	"godwittide/core/version/gtconfig"
@@ -105,6 +106,11 @@
 	OnRetry func(c gtcall.Call, instance string, err error, count int)
 	// Dialect adapts requests and responses to the callers' protocol.
 	Dialect gthop.Dialect
+	// Throttle decides whether requests are worth sending; nil means that all are sent.
+	Throttle *gtthrottle.Throttle
+	// Calls counts the calls of the local backend server that are refused; nil means that
+	// they aren't counted.
+	Calls *gtthrottle.Calls
 	// Split distributes the requests of a split route over its services.
 	Split *gtsplit.Split
 	// Trace starts a span and returns the function that ends it.
@@ -163,6 +169,9 @@
 		return c, gtcall.Response{}, gtkind.New(gtkind.Leaving, "this node shuts down before the deadline of the request")
 	}
 	resp, err := e.dispatch(ctx, cfg, c)
+	if e.Calls != nil && c.IsNested() {
+		e.Calls.RecordCall(c.Service(), gtkind.Of(err) == gtkind.Full)
+	}
 	return c, resp, err
 }
 
@@ -172,6 +181,9 @@
 	if e.Crashes.IsBlocked(c.Fingerprint()) {
 		return gtcall.Response{}, gthop.BlockedError(c)
 	}
+	if err := e.throttle(c); err != nil {
+		return gtcall.Response{}, err
+	}
 	if c.Key() == "" || c.Idempotent() {
 		return e.sendWithRetries(ctx, cfg, c)
 	}
@@ -186,6 +198,40 @@
 	return e.sendByKey(ctx, cfg, c)
 }
 
+// throttle returns an error of the kind Full if servers are likely to refuse a call. A resend
+// with a key is always sent, as its response may be there already.
+func (e *Edge) throttle(c gtcall.Call) error {
+	if e.Throttle == nil || c.Key() != "" && c.IsResend() {
+		return nil
+	}
+	wait, ok := e.Throttle.Admit(flowOf(c), cmp.Or(c.Account(), c.Caller()), c.Deadline().Sub(e.Now()))
+	if ok {
+		return nil
+	}
+	return gtkind.WithWait(gtkind.New(gtkind.Full, "not sent: several servers of %s refuse requests of class %s", c.Service(), c.Class()), wait)
+}
+
+// flowOf returns the flow that a call belongs to at its servers.
+func flowOf(c gtcall.Call) gtthrottle.Flow {
+	return gtthrottle.NewFlow(c.Service(), c.Class(), c.IsNested())
+}
+
+// recordAnswer tells the throttle whether the gate of an instance admitted a call. Errors that
+// say nothing about that are left out.
+func (e *Edge) recordAnswer(c gtcall.Call, instance string, err error, load gtroute.Load) {
+	if e.Throttle == nil || c.LookupOnly() {
+		return
+	}
+	k := gtkind.Of(err)
+	answer := gtthrottle.NewAnswer(flowOf(c), instance).WithLoad(load)
+	if wait, ok := gtkind.WaitOf(err); ok && k == gtkind.Full {
+		answer = answer.WithRefusal(wait).WithOnly(len(e.Instances(c.Service())) < 2)
+	} else if k != gtkind.None && !k.MayHaveReachedBackend() {
+		return
+	}
+	e.Throttle.Record(answer)
+}
+
 // newCall returns the call for a request of a caller. If it fails, the returned
 // call is empty, or has the ID and route of a request that carries no valid key of an
 // account, or whose body can't be read.
@@ -262,6 +308,9 @@
 	hasRoute := e.Holder.Current().Config().HasRoute
 	e.Split.Prune(hasRoute)
 	e.Retry.Prune(hasRoute)
+	if e.Throttle != nil {
+		e.Throttle.Expire()
+	}
 }
 
 // newID returns an ID for a request that has none.
@@ -331,6 +380,9 @@
 	if ctx.Err() != nil || e.Crashes.IsBlocked(c.Fingerprint()) {
 		return false
 	}
+	if k == gtkind.Full && e.Throttle != nil && e.Throttle.IsThrottling(flowOf(c)) {
+		return false
+	}
 	return e.Retry.ShouldRetry(e.failedAttempt(c, k, count, reached))
 }
 
@@ -398,6 +450,7 @@
 		load = e.LocalBackend.Gate.Load(c.Route())
 	}
 	e.Router.End(to.Instance(), c.Route(), k, load)
+	e.recordAnswer(c, to.Instance(), err, load)
 	d := e.Now().Sub(start)
 	e.recordOutcome(c, to, resp, k, d)
 	if k == gtkind.None {
--- a/io/request/gthop/localbackend.go
+++ b/io/request/gthop/localbackend.go
@@ -11,6 +11,7 @@
 	"godwittide/core/request/gtdedup"
 	"godwittide/core/request/gtinflight"
 	"godwittide/core/request/gtkind"
+	"godwittide/core/request/gtthrottle"
 	"godwittide/core/version/gtcanary"
 	"godwittide/io/connection/gtpool"
 )
@@ -36,6 +37,9 @@
 	Pool *gtpool.Pool
 	// Gate is the admission gate of the backend server.
 	Gate *gtadmission.Gate
+	// Calls counts the requests that run, to learn how many calls they make; nil means that
+	// they aren't counted.
+	Calls *gtthrottle.Calls
 	// Keys stores the outcomes of requests with an idempotency key.
 	Keys *gtdedup.Keys
 	// Crashes stores the fingerprints of requests that were in flight when a
@@ -256,6 +260,9 @@
 		return gtcall.Response{}, err
 	}
 	gtinflight.FromContext(ctx).MoveTo(gtinflight.Working, b.Self().Instance())
+	if b.Calls != nil {
+		b.Calls.RecordRun()
+	}
 	// The span is written to the header of this request, as other attempts may
 	// read the header of the call concurrently.
 	ctx, end := b.Trace(ctx, "backend", req.Header)
