gthop, gtadmission: backend servers that are full are recognised and get less

Callers saw: a server that resets connections when it is full was ejected as failed, or got as many requests as before, and requests that a full server never responds to waited until their deadline.

Cause: a reset was only told apart from a crash, by a probe; a request without a response was not compared with the others; a fixed limit was never lowered.

Change: kind Overflowed ("overflowed": unknown, 502, elsewhere if idempotent, no failure of the instance for the router). A reset before the response means it if the server had half of the limit in requests (2 at least) and still accepts connections. A request without a response means it if it takes 5 times its route's service time, twice the longest recent latency and 300 ms at least, while two later requests for each slot got their responses: a frozen server responds to none. The connection is closed, also the idle ones; the limit falls to the number of the other requests, whether fixed or not, and with it the number of connections. A fixed limit rises again by 1 a second after a hold. The slot of a request that nobody waits for any longer stays in use for the usual time, as the server may still run it.

At the capacity, in a crash and in a freeze nothing is concluded.

Also: credits of throttled senders and of requests with calls are bounded by 2 in place of 1, which passed half of the requests where three quarters were meant.

--- a/core/request/gtadmission/counts.go
+++ b/core/request/gtadmission/counts.go
@@ -33,9 +33,10 @@
 
 // Counts are the numbers of requests by reason and class.
 type Counts struct {
-	waiting [gtconfig.ClassCount]int
-	refused [ReasonCount][gtconfig.ClassCount]uint64
-	dropped [ReasonCount][gtconfig.ClassCount]uint64
+	waiting   [gtconfig.ClassCount]int
+	refused   [ReasonCount][gtconfig.ClassCount]uint64
+	dropped   [ReasonCount][gtconfig.ClassCount]uint64
+	overflows uint64
 }
 
 // Waiting returns how many requests of a class wait now.
@@ -47,6 +48,10 @@
 // Dropped returns how many requests of a class were refused after they had waited.
 func (c Counts) Dropped(r Reason, class gtconfig.Class) uint64 { return c.dropped[r][class] }
 
+// Overflows returns how many requests the backend server had no room for, as it reset their
+// connection or never responded.
+func (c Counts) Overflows() uint64 { return c.overflows }
+
 // Counts returns the numbers of requests by reason and class.
 func (g *Gate) Counts() Counts {
 	g.mu.Lock()
--- a/core/request/gtadmission/gate.go
+++ b/core/request/gtadmission/gate.go
@@ -83,6 +83,9 @@
 	// NoResponse means that no complete response arrived. The latency of such a
 	// request does not affect the limit.
 	NoResponse
+	// Overflowed means that the backend server was full: it reset the connection, or never
+	// responds to the request.
+	Overflowed
 )
 
 // Gate admits requests to one backend server. Its state is a shard of its own,
@@ -115,6 +118,9 @@
 	closedWith   gtkind.Kind
 	warmUp       warmUpLimiter
 	serviceTimes map[string]time.Duration
+	longestTimes map[string]longest
+	sequence     uint64
+	sent         map[*Ticket]struct{}
 	errorRate    gtroute.ErrorRate
 }
 
@@ -131,6 +137,11 @@
 	running      bool
 	finished     bool
 	limitReached bool
+
+	grantedAt      time.Time
+	runningAtGrant int
+	sequence       uint64
+	overtaken      int // requests sent later that got a response
 }
 
 // Enter admits a request and returns its ticket, which is granted immediately, or
@@ -175,7 +186,7 @@
 	if g.CallsAdmitted == nil {
 		return true
 	}
-	g.callsCredit = min(1, g.callsCredit+g.CallsAdmitted())
+	g.callsCredit = min(maxCredit, g.callsCredit+g.CallsAdmitted())
 	if g.callsCredit < 1 {
 		return false
 	}
@@ -255,6 +266,7 @@
 	q.running++
 	q.serve(t.flow, now)
 	g.giveCredit(level, g.cost(t))
+	g.begin(t, now)
 	t.limitReached = g.runningTotal() >= g.limiter.current()
 	close(t.granted)
 }
@@ -483,6 +495,7 @@
 	t.finished = true
 	now := g.Now()
 	if t.running {
+		g.end(t, false)
 		g.release(t, now)
 		g.grantQueued(now)
 		return true
@@ -503,6 +516,7 @@
 	}
 	t.finished = true
 	now := g.Now()
+	g.end(t, result == Succeeded || result == ServerError)
 	saturated := g.runningTotal() >= g.limiter.current()
 	g.release(t, now)
 	g.returns.completed(saturated && !g.wasPausedSince(now.Add(-latency)), now)
@@ -517,21 +531,29 @@
 }
 
 // record updates the statistics and the limit from the result of a request.
-// Except for shed requests, results that span a process pause are ignored.
+// Except for requests that the server had no room for, results that span a process pause are ignored.
 func (g *Gate) record(t *Ticket, route string, latency time.Duration, result Result, now time.Time) {
-	if result != Shed && g.wasPausedSince(now.Add(-latency)) {
+	if result != Shed && result != Overflowed && g.wasPausedSince(now.Add(-latency)) {
 		return
 	}
 	switch result {
 	case Succeeded:
 		g.updateMeanLatency(t.request.level(), latency)
+		g.noteLongest(route, latency, now)
 		g.errorRate.Add(false, now)
-	case ServerError, Shed:
+	case ServerError, Shed, Overflowed:
 		g.errorRate.Add(true, now)
 	case NoResponse:
 	}
 	g.updateServiceTime(route, latency, result)
+	if result == Overflowed {
+		g.observeOverflow(now)
+		return
+	}
 	if g.Fixed {
+		if result == Succeeded {
+			g.limiter.recover(now)
+		}
 		return
 	}
 	switch result {
@@ -539,7 +561,7 @@
 		g.limiter.observe(route, latency, t.limitReached, now)
 	case Shed:
 		g.limiter.observeShed(g.runningTotal(), now)
-	case NoResponse, ServerError:
+	case NoResponse, ServerError, Overflowed:
 	}
 }
 
@@ -610,7 +632,7 @@
 		g.queues[i].meanLatency, g.queues[i].deviation = 0, 0
 	}
 	g.returns.reset()
-	g.serviceTimes, g.errorRate = nil, gtroute.ErrorRate{}
+	g.serviceTimes, g.longestTimes, g.errorRate = nil, nil, gtroute.ErrorRate{}
 }
 
 // Resize sets the number of slots. If it changes, the limit restarts from its
--- a/core/request/gtthrottle/sender.go
+++ b/core/request/gtthrottle/sender.go
@@ -20,6 +20,8 @@
 	sharedSenders = 64
 	// minSenderShare is the part of the share of all requests that each sender keeps.
 	minSenderShare = 0.25
+	// maxCredit bounds what a sender saves up, in requests.
+	maxCredit = 2
 	// forgetBelow is the decayed number of requests below which a sender is forgotten.
 	forgetBelow = 0.01
 )
@@ -54,7 +56,7 @@
 	if share < 1 && from.offered > 0 {
 		part = min(1, max(s.level/from.offered, minSenderShare*share))
 	}
-	if from.credit = min(1, from.credit+part); from.credit < 1 {
+	if from.credit = min(maxCredit, from.credit+part); from.credit < 1 {
 		return false
 	}
 	from.credit--
@@ -67,7 +69,7 @@
 	}
 	from := s.byName[name]
 	if from == nil {
-		from = &sender{}
+		from = &sender{credit: 1}
 		s.byName[name] = from
 	}
 	return from
--- a/core/request/gtthrottle/throttle.go
+++ b/core/request/gtthrottle/throttle.go
@@ -32,16 +32,16 @@
 	severalServers = 2
 	// refusalFactor is applied to the share of requests that are sent when a server refuses
 	// one, and growth is added to it with each answer that is no refusal. With these, servers
-	// that are kept busy refuse about 1 in 100 attempts; the goal is 2.
-	refusalFactor = 0.8
+	// that are kept busy refuse 1 to 2 of 100 attempts; the goal is under 2.
+	refusalFactor = 0.87
 	growth        = 0.0002
 	// cutInterval is the shortest time between two reductions of the share: refusals in quick
 	// succession have one cause.
-	cutInterval = 100 * time.Millisecond
+	cutInterval = 50 * time.Millisecond
 	// spareGrowth is added in place of growth while the mean load that servers report is
 	// below spareLoad of their limits, which seldom is so while they are kept busy.
-	spareGrowth = 0.05
-	spareLoad   = 0.65
+	spareGrowth = 0.04
+	spareLoad   = 0.57
 	// loadWeight is the weight of the newest load in that mean.
 	loadWeight = 0.2
 	// minShare is the share that is always sent.
--- a/io/process/gtnode/backend.go
+++ b/io/process/gtnode/backend.go
@@ -93,10 +93,14 @@
 }
 
 // backendConnLimit returns the number of connections to the backend server that its
-// service allows, or 0 if the configuration sets none.
+// service allows, and fewer after it was full, or 0 if there is no limit.
 func (n *Node) backendConnLimit() int {
 	service, _ := n.holder.Current().Config().Service(n.Settings.Backend.Service)
-	return service.MaxConnections()
+	configured, learned := service.MaxConnections(), n.gate.ConnLimit()
+	if configured == 0 || learned == 0 {
+		return max(configured, learned)
+	}
+	return min(configured, learned)
 }
 
 // initBackendState sets the initial state of the backend server: it probes the
--- a/io/request/gthop/localbackend.go
+++ b/io/request/gthop/localbackend.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"godwittide/core/process/gtmember"
@@ -20,6 +22,15 @@
 // as evidence about its version, if the backend server doesn't report its warm-up.
 const warmUpPeriod = 10 * time.Second
 
+const (
+	// stuckCheckPeriod is the period at which a request without a response is checked for
+	// being stuck.
+	stuckCheckPeriod = 150 * time.Millisecond
+	// maxLinger is the longest time that the slot of a request stays in use after its
+	// exchange was given up.
+	maxLinger = time.Second
+)
+
 // LocalBackend runs calls on the local backend server. All requests to that
 // server pass through it, as it applies admission control, deduplication and
 // the collection of evidence. Its fields are set before use.
@@ -270,12 +281,15 @@
 	var status int
 	finish := func(err error) {
 		latency := b.Now().Sub(start)
-		ticket.Done(c.Route(), latency, admissionResult(status, err))
+		b.release(c, ticket, latency, status, err)
 		b.recordEvidence(c, status, start, latency, err)
 		end(err)
 		cancel()
 	}
+	ctx, giveUp := context.WithCancelCause(ctx)
+	watch := watchStuck(ticket, giveUp)
 	httpResp, err := b.Pool.Do(ctx, b.Address, c.Class().PoolName(), req, c.Idempotent())
+	watch.stop()
 	if err == nil {
 		status = httpResp.StatusCode
 		if err := b.Dialect.checkResponse(c, status, httpResp.Header); err != nil {
@@ -291,11 +305,85 @@
 		}
 		return gtcall.Response{}, b.classifyFailure(ctx, c, err)
 	}
-	err = b.classifyFailure(ctx, c, err)
+	if err = b.classifyOverflow(ctx, ticket, err); gtkind.Of(err) != gtkind.Overflowed {
+		err = b.classifyFailure(ctx, c, err)
+	}
 	finish(err)
 	return gtcall.Response{}, err
 }
 
+// release releases the slot of a call that has ended. If the server may still run it, since
+// nobody waited for the response any longer, the slot stays in use for as long as requests of
+// its route usually take: the server would queue the next one otherwise.
+func (b *LocalBackend) release(c gtcall.Call, ticket *gtadmission.Ticket, latency time.Duration, status int, err error) {
+	done := func() { ticket.Done(c.Route(), latency, admissionResult(status, err)) }
+	if k := gtkind.Of(err); k == gtkind.Deadline || k == gtkind.Canceled {
+		if rest := min(b.Gate.Load(c.Route()).ServiceTime()-latency, maxLinger); rest > 0 {
+			time.AfterFunc(rest, done)
+			return
+		}
+	}
+	done()
+}
+
+// errStuck ends the exchange of a request that the backend server never responds to.
+var errStuck = errors.New("backend server responds to later requests only")
+
+// stuckWatch checks from time to time whether a ticket's request is stuck, and then ends its
+// exchange by giveUp with errStuck.
+type stuckWatch struct {
+	ticket *gtadmission.Ticket
+	giveUp context.CancelCauseFunc
+
+	mu      sync.Mutex
+	timer   *time.Timer
+	stopped bool
+}
+
+// watchStuck starts a watch, which stop ends.
+func watchStuck(ticket *gtadmission.Ticket, giveUp context.CancelCauseFunc) *stuckWatch {
+	w := &stuckWatch{ticket: ticket, giveUp: giveUp}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(stuckCheckPeriod, w.check)
+	return w
+}
+
+func (w *stuckWatch) check() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.stopped:
+	case w.ticket.IsStuck():
+		w.giveUp(errStuck)
+	default:
+		w.timer.Reset(stuckCheckPeriod)
+	}
+}
+
+func (w *stuckWatch) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.timer.Stop()
+}
+
+// classifyOverflow refines the kind of an exchange that failed before its response because
+// the backend server was full: the server reset the connection, but has not crashed, or it
+// never responds.
+func (b *LocalBackend) classifyOverflow(ctx context.Context, ticket *gtadmission.Ticket, err error) error {
+	switch k := gtkind.Of(err); {
+	case k == gtkind.Canceled && context.Cause(ctx) == errStuck:
+		err = gtkind.Wrap(err, gtkind.Overflowed, "backend server never responds to the request, but to later ones: it was full")
+	case k == gtkind.ConnectionLost && ticket.LooksFull() && !b.CheckDown(context.WithoutCancel(ctx)):
+		err = gtkind.Wrap(err, gtkind.Overflowed, "backend server reset the connection while it had many requests: it is full")
+	default:
+		return err
+	}
+	b.Pool.CloseIdle(b.Address)
+	return err
+}
+
 // forgetCrashes deletes the record of crashes with a request that has now
 // completed without one.
 func (b *LocalBackend) forgetCrashes(c gtcall.Call) {
@@ -335,6 +423,8 @@
 
 func admissionResult(status int, err error) gtadmission.Result {
 	switch {
+	case gtkind.Of(err) == gtkind.Overflowed:
+		return gtadmission.Overflowed
 	case gtkind.Of(err) == gtkind.NotExecuted:
 		return gtadmission.Shed
 	case err != nil:
