--- a/core/request/gtadmission/gate.go
+++ b/core/request/gtadmission/gate.go
@@ -103,6 +103,9 @@
 	// Fixed keeps the limit at Slots, for comparison with the adaptive limit. It
 	// is set before use.
 	Fixed bool
+	// MaxConnections returns how many connections the backend server accepts, or 0 if that is
+	// unknown. No more requests run at once. It is set before use; nil means unknown.
+	MaxConnections func() int
 	// CallsAdmitted returns the part of requests whose calls to other services are likely
 	// to be admitted there; nil means all. It is set before use.
 	CallsAdmitted func() float64
@@ -208,6 +211,16 @@
 	return now
 }
 
+// limit returns how many requests may run at once now.
+func (g *Gate) limit() float64 {
+	if g.MaxConnections != nil {
+		if n := g.MaxConnections(); n > 0 {
+			return min(g.limiter.limit, float64(n))
+		}
+	}
+	return g.limiter.limit
+}
+
 // runningTotal returns the number of running requests of all levels.
 func (g *Gate) runningTotal() int {
 	n := 0
@@ -233,7 +246,7 @@
 
 // hasRoom reports whether another request of the level may run now.
 func (g *Gate) hasRoom(level int, now time.Time) bool {
-	limit := g.limiter.current()
+	limit := int(g.limit())
 	return g.runningTotal() < limit-g.reserved(level, limit, now)
 }
 
@@ -267,7 +280,7 @@
 	q.serve(t.flow, now)
 	g.giveCredit(level, g.cost(t))
 	g.begin(t, now)
-	t.limitReached = g.runningTotal() >= g.limiter.current()
+	t.limitReached = g.runningTotal() >= int(g.limit())
 	close(t.granted)
 }
 
@@ -323,11 +336,11 @@
 // capacityFor returns how many slots serve a level: those that the more urgent levels leave,
 // and at least its guaranteed share.
 func (g *Gate) capacityFor(level int) float64 {
-	free := g.limiter.limit
+	free := g.limit()
 	for i := range level {
 		free -= g.queues[i].meanRunning
 	}
-	return max(free, levelShare*g.limiter.limit)
+	return max(free, levelShare*g.limit())
 }
 
 // expectedWait returns how long a ticket is expected to wait if it joins the queue: until
@@ -394,7 +407,7 @@
 	for i := range g.queues {
 		n += g.queues[i].meanRunning
 	}
-	return n / g.limiter.limit
+	return n / g.limit()
 }
 
 // queueCapacity returns how many requests of the ticket's level may wait. A queue that was
@@ -466,7 +479,7 @@
 func (g *Gate) drainGap(r Request, now time.Time) time.Duration {
 	gap := g.returns.gap
 	if gap == 0 {
-		gap = time.Duration(float64(g.serviceTime(r)) / g.limiter.limit)
+		gap = time.Duration(float64(g.serviceTime(r)) / g.limit())
 	}
 	if gap == 0 {
 		gap = initialGap
@@ -517,7 +530,7 @@
 	t.finished = true
 	now := g.Now()
 	g.end(t, result == Succeeded || result == ServerError)
-	saturated := g.runningTotal() >= g.limiter.current()
+	saturated := g.runningTotal() >= int(g.limit())
 	g.release(t, now)
 	g.returns.completed(saturated && !g.wasPausedSince(now.Add(-latency)), now)
 	g.record(t, route, latency, result, now)
@@ -671,7 +684,7 @@
 		busy += g.queues[i].running + g.queues[i].waiting
 	}
 	if g.warmUp.exhausted(now) {
-		busy = max(busy, warmUpLoad*g.limiter.current())
+		busy = max(busy, warmUpLoad*int(g.limit()))
 	}
-	return gtroute.NewLoad(busy, g.limiter.current()).WithServiceTime(g.serviceTimes[route]).WithErrorRate(g.errorRate.Value(now))
+	return gtroute.NewLoad(busy, int(g.limit())).WithServiceTime(g.serviceTimes[route]).WithErrorRate(g.errorRate.Value(now))
 }
--- a/core/request/gtadmission/overflow.go
+++ b/core/request/gtadmission/overflow.go
@@ -80,7 +80,7 @@
 }
 
 func (t *Ticket) looksFull() bool {
-	return t.runningAtGrant >= max(2, t.gate.limiter.current()/fullDivisor)
+	return t.runningAtGrant >= max(2, int(t.gate.limit())/fullDivisor)
 }
 
 // IsStuck reports whether the server will never respond to the request, as it was full when
@@ -90,7 +90,7 @@
 	g := t.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if t.finished || !t.running || !t.looksFull() || t.overtaken < overtakenPerSlot*g.limiter.current() {
+	if t.finished || !t.running || !t.looksFull() || t.overtaken < overtakenPerSlot*int(g.limit()) {
 		return false
 	}
 	usual := g.serviceTimes[t.request.route]
--- a/core/request/gtadmission/sim_cases_test.go
+++ b/core/request/gtadmission/sim_cases_test.go
@@ -406,3 +406,18 @@
 	}
 	g.Expect(admitted).To(gomega.Equal(75))
 }
+
+// Guards against a request that is granted a slot and then refused for want of a connection.
+func TestNoMoreRunThanTheServerAcceptsConnections(t *testing.T) {
+	g := gomega.NewWithT(t)
+	gate, now := gateAt(8)
+	gate.MaxConnections = func() int { return 3 }
+	granted := 0
+	for _, t := range fill(gate, 5, NewRequest(gtconfig.Normal, now.Add(time.Second)).WithRoute("r")) {
+		if isClosed(t.Granted()) {
+			granted++
+		}
+	}
+	g.Expect(granted).To(gomega.Equal(3))
+	g.Expect(gate.Load("r").Limit()).To(gomega.Equal(3))
+}
--- a/io/process/gtnode/admin.go
+++ b/io/process/gtnode/admin.go
@@ -176,6 +176,7 @@
 	n.scope.Gauge("control_received_bytes").Update(float64(s.ControlBytesReceived))
 	n.scope.Gauge("keys").Update(float64(n.dedup.Len()))
 	n.scope.Gauge("crashes").Update(float64(n.crashes.Len()))
+	n.reportAdmission()
 	gtmetric.RecordInFlight(n.scope, n.requests.Counts())
 }
 
--- a/io/process/gtnode/backend.go
+++ b/io/process/gtnode/backend.go
@@ -92,11 +92,17 @@
 	return d.DialContext(ctx, "tcp", addr)
 }
 
+// maxConnections returns the number of connections that the configuration allows to one
+// backend server of the service, or 0 if it sets none.
+func (n *Node) maxConnections() int {
+	service, _ := n.holder.Current().Config().Service(n.Settings.Backend.Service)
+	return service.MaxConnections()
+}
+
 // backendConnLimit returns the number of connections to the backend server that its
 // service allows, and fewer after it was full, or 0 if there is no limit.
 func (n *Node) backendConnLimit() int {
-	service, _ := n.holder.Current().Config().Service(n.Settings.Backend.Service)
-	configured, learned := service.MaxConnections(), n.gate.ConnLimit()
+	configured, learned := n.maxConnections(), n.gate.ConnLimit()
 	if configured == 0 || learned == 0 {
 		return max(configured, learned)
 	}
--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -119,6 +119,7 @@
 
 	gate         *gtadmission.Gate
 	throttle     *gtthrottle.Throttle
+	admission    admissionReport // used by expirePeriodically only
 	dedup        *gtdedup.Keys
 	retry        *gtretry.Policy
 	router       *gtroute.Router
@@ -278,7 +279,10 @@
 	n.scope = n.metrics.Scope()
 	calls := &gtthrottle.Calls{Now: now}
 	n.throttle = &gtthrottle.Throttle{Now: now}
-	n.gate = &gtadmission.Gate{CallsAdmitted: calls.AdmittedShare, Now: now, Slots: cfg.Backend.Slots, Fixed: cfg.Backend.FixedLimit, PausedSince: n.timer.PausedSince}
+	n.gate = &gtadmission.Gate{
+		Now: now, Slots: cfg.Backend.Slots, Fixed: cfg.Backend.FixedLimit, PausedSince: n.timer.PausedSince,
+		MaxConnections: n.maxConnections, CallsAdmitted: calls.AdmittedShare,
+	}
 	n.dedup = &gtdedup.Keys{Now: now}
 	split := &gtsplit.Split{Rand: rand.Float64}
 	n.retry = &gtretry.Policy{Now: now}
--- a/io/request/gthop/full_test.go
+++ b/io/request/gthop/full_test.go
@@ -30,7 +30,8 @@
 	capacity int64
 	resets   bool
 	running  atomic.Int64
-	most     atomic.Int64
+	mu       sync.Mutex
+	most     int64
 	rejected atomic.Int64
 	hangs    atomic.Bool // no request gets a response
 	release  chan struct{}
@@ -58,8 +59,9 @@
 		}
 		return
 	}
-	for most := s.most.Load(); n > most && !s.most.CompareAndSwap(most, n); most = s.most.Load() {
-	}
+	s.mu.Lock()
+	s.most = max(s.most, n)
+	s.mu.Unlock()
 	d, _ := time.ParseDuration(r.URL.RawQuery)
 	time.Sleep(d)
 }
@@ -143,7 +145,7 @@
 		s := &fullServer{capacity: 8}
 		b := newFullBackend(t, network, s, 8)
 		kinds := offer(b, 9*time.Millisecond, 5*time.Second, true)
-		g.Expect(s.most.Load()).To(gomega.Equal(int64(8)))
+		g.Expect(s.most).To(gomega.Equal(int64(8)))
 		g.Expect(s.rejected.Load()).To(gomega.BeZero())
 		g.Expect(kinds[gtkind.Overflowed]).To(gomega.BeZero())
 		g.Expect(b.Gate.Load("r").Limit()).To(gomega.Equal(8))
