--- a/core/request/gtadmission/gate.go
+++ b/core/request/gtadmission/gate.go
@@ -65,6 +65,9 @@
 	// service time of a request that is to be in time for its target. With none, half of those
 	// that are just in time would be late.
 	deviations = 4
+	// dropPeriod is the shortest time between two searches of the queues for requests that
+	// can't be in time any more. A long queue would be searched at each request otherwise.
+	dropPeriod = time.Millisecond
 	// meanLatencyWeight is the weight of the newest response in the mean latency.
 	meanLatencyWeight = 0.1
 )
@@ -116,6 +119,7 @@
 	queues       [levelCount]queue
 	returns      returns
 	runningAt    time.Time // of the last update of the mean numbers of running requests
+	droppedAt    time.Time // of the last search for requests to drop
 	callsCredit  float64   // of requests whose calls are admitted
 	counts       Counts
 	closedWith   gtkind.Kind
@@ -430,6 +434,10 @@
 
 // dropLost drops the waiting requests that can't respond before their deadline any more.
 func (g *Gate) dropLost(now time.Time) {
+	if now.Sub(g.droppedAt) < dropPeriod {
+		return
+	}
+	g.droppedAt = now
 	for i := range g.queues {
 		g.queues[i].lost(
 			func(t *Ticket) bool { return now.Add(g.serviceTime(t.request)).After(t.request.deadline) },
