gtthrottle: nodes with few requests find out sooner that an overload has ended

Cause: the share grew by the answer, and such nodes get few.

Change: while servers report a low load, the share grows by the time between two answers.

Tried and left: lowering the share only above a mean share of refusals (no effect: one refusal is above it).

--- a/core/request/gtthrottle/throttle.go
+++ b/core/request/gtthrottle/throttle.go
@@ -38,12 +38,14 @@
 	// cutInterval is the shortest time between two reductions of the share: refusals in quick
 	// succession have one cause.
 	cutInterval = 50 * time.Millisecond
-	// spareGrowth is added in place of growth while the mean load that servers report is
-	// below spareLoad of their limits, which seldom is so while they are kept busy.
-	spareGrowth = 0.04
-	spareLoad   = 0.57
+	// spareGrowth is added for each second between two answers, of which maxGap counts at
+	// most, while the mean load that servers report is below spareLoad of their limits, which
+	// seldom is so while they are kept busy.
+	spareGrowth = 0.3
+	maxGap      = time.Second
+	spareLoad   = 0.6
 	// loadWeight is the weight of the newest load in that mean.
-	loadWeight = 0.2
+	loadWeight = 0.4
 	// minShare is the share that is always sent.
 	minShare = 0.05
 	// minWait is the shortest time to wait, waitDivisor the divisor of the remaining time
@@ -118,14 +120,16 @@
 
 // flow is what a node knows of one service and class.
 type flow struct {
-	share   float64                 // of the requests that are sent
-	last    [severalServers]refusal // of different servers
-	senders senders
-	wait    time.Duration // told with the last refusal
-	spread  float64
-	cutAt   time.Time // when the share was last lowered
-	load    float64   // mean of what servers report, as a part of their limits
-	usedAt  time.Time
+	share      float64                 // of the requests that are sent
+	last       [severalServers]refusal // of different servers
+	senders    senders
+	wait       time.Duration // told with the last refusal
+	spread     float64
+	refused    float64   // moving average of the share of answers that are refusals
+	answeredAt time.Time // the last answer
+	cutAt      time.Time // when the share was last lowered
+	load       float64   // mean of what servers report, as a part of their limits
+	usedAt     time.Time
 }
 
 // noteLoad records the load that a server reports.
@@ -196,6 +200,8 @@
 func (t *Throttle) Record(a Answer) {
 	t.withFlow(a.flow, func(f *flow, now time.Time) {
 		f.noteLoad(a.load)
+		gap := now.Sub(f.answeredAt)
+		f.answeredAt = now
 		switch {
 		case a.refused:
 			f.wait = a.wait
@@ -204,7 +210,7 @@
 				f.share, f.cutAt = max(minShare, f.share*refusalFactor), now
 			}
 		case f.load < spareLoad:
-			f.share = min(1, f.share+spareGrowth)
+			f.share = min(1, f.share+max(growth, spareGrowth*min(gap, maxGap).Seconds()))
 		default:
 			f.share = min(1, f.share+growth)
 		}
