--- a/core/request/gtroute/estimate.go
+++ b/core/request/gtroute/estimate.go
@@ -32,10 +32,10 @@
 	minVariance = 0.3
 	// negligible is the probability of meeting no free slot below which it is neglected.
 	negligible = 0.001
-	// crossZoneCost is the cost of an instance in another zone: bytes between zones cost.
-	// At 0.01 a fleet of 78 nodes sent three times as many bytes as by load; at 0.1 a zone
-	// in need was relieved too late.
-	crossZoneCost = 0.05
+	// crossZoneCost is the cost of an instance in another zone: bytes between zones cost, so
+	// a request leaves its zone only if it is clearly more likely in time elsewhere.
+	// shortZoneCost replaces it while the own zone is short of capacity.
+	crossZoneCost, shortZoneCost = 0.15, 0.05
 	// explorePart is the part of the requests that go to one of two random instances
 	// whatever their speed, so that slow ones get some requests, too.
 	explorePart = 0.02
@@ -55,16 +55,14 @@
 	full     float64
 	newcomer bool
 	remote   bool
+	// zoneCost is the cost of another zone, or 0.
+	zoneCost float64
 }
 
 // cost is what estimates are compared by, less being better.
 func (e estimate) cost() float64 {
 	square := e.use * e.use
-	cost := e.late + fullCost*e.full + useCost*square*square
-	if e.remote {
-		cost += crossZoneCost
-	}
-	return cost
+	return e.late + fullCost*e.full + useCost*square*square + e.zoneCost
 }
 
 // choose returns the instance for a request among those in the buffers. If the speeds of
@@ -165,6 +163,9 @@
 // estimate returns an instance with the estimate for a request.
 func (rt *Router) estimate(r *gtmember.Record, remote bool, q Query, v *view, now time.Time) estimate {
 	e := estimate{candidate: candidate{record: r}, remote: remote, newcomer: true}
+	if remote {
+		e.zoneCost = v.otherZoneCost(now)
+	}
 	serviceTime := v.work
 	limit, meanUse, zone := float64(r.Slots()), v.use, v.zone(r.Zone())
 	if zone.spare.isValid(now) {
--- a/core/request/gtroute/view.go
+++ b/core/request/gtroute/view.go
@@ -102,6 +102,14 @@
 	return false
 }
 
+// otherZoneCost returns the cost of an instance in another zone.
+func (v *view) otherZoneCost(now time.Time) float64 {
+	if v.isShort(now) {
+		return shortZoneCost
+	}
+	return crossZoneCost
+}
+
 // view returns what is known of the service and route of a query, from the instances in
 // list. It is computed at most once in viewPeriod, and not from the few instances that
 // are left for a retry.
