gtroute: the cost of another zone falls as the own zone fills

A cost that changed at one use of the zone made its senders leave at the same moment: the fleet test saw the use of a zone change by 0.094 in a second, and 0.087 by load. It falls gradually from 0.12 to 0.05 now; the test passes.

--- a/core/request/gtroute/estimate.go
+++ b/core/request/gtroute/estimate.go
@@ -34,8 +34,9 @@
 	negligible = 0.001
 	// crossZoneCost is the cost of an instance in another zone: bytes between zones cost, so
 	// a request leaves its zone only if it is clearly more likely in time elsewhere.
-	// shortZoneCost replaces it while the own zone is short of capacity.
-	crossZoneCost, shortZoneCost = 0.15, 0.05
+	// It falls to fullZoneCost from easyUse to shortUse of the own zone.
+	crossZoneCost, fullZoneCost = 0.12, 0.05
+	easyUse                     = 0.4
 	// explorePart is the part of the requests that go to one of two random instances
 	// whatever their speed, so that slow ones get some requests, too.
 	explorePart = 0.02
@@ -164,7 +165,7 @@
 func (rt *Router) estimate(r *gtmember.Record, remote bool, q Query, v *view, now time.Time) estimate {
 	e := estimate{candidate: candidate{record: r}, remote: remote, newcomer: true}
 	if remote {
-		e.zoneCost = v.otherZoneCost(now)
+		e.zoneCost = v.otherZoneCost()
 	}
 	serviceTime := v.work
 	limit, meanUse, zone := float64(r.Slots()), v.use, v.zone(r.Zone())
--- a/core/request/gtroute/view.go
+++ b/core/request/gtroute/view.go
@@ -102,12 +102,11 @@
 	return false
 }
 
-// otherZoneCost returns the cost of an instance in another zone.
-func (v *view) otherZoneCost(now time.Time) float64 {
-	if v.isShort(now) {
-		return shortZoneCost
-	}
-	return crossZoneCost
+// otherZoneCost returns the cost of an instance in another zone. It falls gradually as the
+// own zone fills, so that its senders don't all begin to leave it at the same use.
+func (v *view) otherZoneCost() float64 {
+	fall := (crossZoneCost - fullZoneCost) * (v.localUse - easyUse) / (shortUse - easyUse)
+	return min(max(crossZoneCost-fall, fullZoneCost), crossZoneCost)
 }
 
 // view returns what is known of the service and route of a query, from the instances in
