--- a/core/request/gtroute/estimate.go
+++ b/core/request/gtroute/estimate.go
@@ -32,6 +32,9 @@
 	minVariance = 0.3
 	// negligible is the probability of meeting no free slot below which it is neglected.
 	negligible = 0.001
+	// minEstimated is the number of instances from which those of several zones are
+	// compared by estimate. With one or two in each zone most requests would leave it.
+	minEstimated = 6
 	// crossZoneCost is the cost of an instance in another zone: bytes between zones cost, so
 	// a request leaves its zone only if it is clearly more likely in time elsewhere.
 	// It falls to fullZoneCost from easyUse to shortUse of the own zone.
@@ -73,7 +76,7 @@
 func (rt *Router) choose(buf *buffers, q Query) candidate {
 	now := rt.Now()
 	v := rt.view(buf.list, q, now)
-	if !v.mixed && !v.isShort(now) || rt.Rand() < explorePart {
+	if !v.comparesByEstimate(buf, now) || rt.Rand() < explorePart {
 		return rt.chooseByLoad(buf, q)
 	}
 	best, ok := rt.bestOf(buf, q, v, now)
--- a/core/request/gtroute/explain.go
+++ b/core/request/gtroute/explain.go
@@ -203,7 +203,7 @@
 		}
 		list = append(list, o)
 	}
-	byEstimate := v.mixed || v.isShort(now)
+	byEstimate := v.comparesByEstimate(buf, now)
 	best := -1
 	if byEstimate {
 		best = bestByEstimate(list, len(buf.local) > 0, v, now)
--- a/core/request/gtroute/view.go
+++ b/core/request/gtroute/view.go
@@ -102,6 +102,15 @@
 	return false
 }
 
+// comparesByEstimate reports whether the instances in the buffers are compared by estimate:
+// their speeds differ, or the own zone is short of capacity.
+func (v *view) comparesByEstimate(buf *buffers, now time.Time) bool {
+	if len(buf.remote) > 0 && len(buf.list) < minEstimated {
+		return false
+	}
+	return v.mixed || v.isShort(now)
+}
+
 // otherZoneCost returns the cost of an instance in another zone. It falls gradually as the
 // own zone fills, so that its senders don't all begin to leave it at the same use.
 func (v *view) otherZoneCost() float64 {
