--- a/core/request/gtkind/kind.go
+++ b/core/request/gtkind/kind.go
@@ -80,6 +80,9 @@
 	// NotExecuted means that the backend server responded that it did not run the
 	// request.
 	NotExecuted
+	// Overflowed means that the backend server, which was full, reset the connection or never
+	// responds to the request. It may have run.
+	Overflowed
 	// Conflict means that the idempotency key was used for another request.
 	Conflict
 	// OutcomeUnknown means that the outcome of an earlier request with the
@@ -175,6 +178,7 @@
 	Crashed:            {"crashed", Unknown, 502, true, time.Second, true},
 	Shed:               {"shed", Unknown, 503, true, time.Second, true},
 	NotExecuted:        {"turned", NotRun, 503, true, time.Second, true},
+	Overflowed:         {"overflowed", Unknown, 502, true, time.Second, true},
 	Conflict:           {"conflict", Unknown, 409, false, 0, false},
 	OutcomeUnknown:     {"forgotten", Unknown, 409, false, 0, false},
 	Canceled:           {"canceled", Unknown, 499, false, 0, false},
@@ -220,6 +224,7 @@
 var (
 	namespace    = errorx.NewNamespace("godwittide")
 	kindProperty = errorx.RegisterPrintableProperty("kind")
+	waitProperty = errorx.RegisterProperty("wait")
 	errorType    = namespace.NewType("request")
 )
 
@@ -251,6 +256,27 @@
 	return k
 }
 
+// WithWait returns err, which must be one of New or Wrap, with the time after which the
+// caller is to come back.
+func WithWait(err error, d time.Duration) error {
+	e := errorx.Cast(err)
+	if e == nil {
+		return err
+	}
+	return e.WithProperty(waitProperty, d)
+}
+
+// WaitOf returns the time after which the caller is to come back, and false if err has
+// none.
+func WaitOf(err error) (time.Duration, bool) {
+	v, ok := errorx.ExtractProperty(err, waitProperty)
+	if !ok {
+		return 0, false
+	}
+	d, ok := v.(time.Duration)
+	return d, ok
+}
+
 // Detail returns the message of err without its error type and kind.
 func Detail(err error) string {
 	if e := errorx.Cast(err); e != nil {
--- a/io/process/gtnode/admin.go
+++ b/io/process/gtnode/admin.go
@@ -198,6 +198,7 @@
 	n.scope.Gauge("choices_other_zone").Update(float64(otherZones))
 	n.scope.Gauge("keys").Update(float64(n.dedup.Len()))
 	n.scope.Gauge("crashes").Update(float64(n.crashes.Len()))
+	n.reportAdmission()
 	gtmetric.RecordInFlight(n.scope, n.requests.Counts())
 }
 
--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -40,6 +40,7 @@
 	"godwittide/core/request/gtretry"
 	"godwittide/core/request/gtroute"
 	"godwittide/core/request/gtsplit"
+	"godwittide/core/request/gtthrottle"
 	"godwittide/core/version/gtcanary"
 	"godwittide/core/version/gtconfig"
 	"godwittide/core/version/gtcurrent"
@@ -137,6 +138,8 @@
 	capacity     *gtcapacity.Estimator
 	calls        *gtcapacity.Calls
 	summaries    *gtsummary.Table
+	throttle     *gtthrottle.Throttle
+	admission    admissionReport // used by expirePeriodically only
 	dedup        *gtdedup.Keys
 	retry        *gtretry.Policy
 	router       *gtroute.Router
@@ -307,8 +310,13 @@
 	n.requests = &gtinflight.Table{Now: now}
 	n.metrics = gtmetric.New()
 	n.scope = n.metrics.Scope()
-	n.gate = &gtadmission.Gate{Now: now, Slots: cfg.Backend.Slots, Fixed: cfg.Backend.FixedLimit, PausedSince: n.timer.PausedSince}
 	n.capacity, n.calls = &gtcapacity.Estimator{PausedSince: n.timer.PausedSince}, &gtcapacity.Calls{}
+	nested := &gtthrottle.Calls{Now: now}
+	n.throttle = &gtthrottle.Throttle{Now: now}
+	n.gate = &gtadmission.Gate{
+		Now: now, Slots: cfg.Backend.Slots, Fixed: cfg.Backend.FixedLimit, PausedSince: n.timer.PausedSince,
+		MaxConnections: n.maxConnections,
+	}
 	n.dedup = &gtdedup.Keys{Now: now}
 	split := &gtsplit.Split{Rand: rand.Float64}
 	n.retry = &gtretry.Policy{Now: now}
@@ -322,7 +330,7 @@
 	}
 	n.localBackend = &gthop.LocalBackend{
 		Now: now, Self: n.table.Self, Address: cfg.Backend.Address, MaxBufferBytes: cfg.Limit.MaxBufferBytes, Pool: n.backendPool,
-		Gate: n.gate, Keys: n.dedup, Crashes: n.crashes, Outcomes: n.outcomes,
+		Gate: n.gate, Calls: nested, Keys: n.dedup, Crashes: n.crashes, Outcomes: n.outcomes,
 		HistoryKnown: n.dedupHistoryKnown, OnCrash: n.announceCrash, CheckDown: n.probeDown, MayRun: n.mayRun, ReadyAt: n.backend.readyTime, Trace: n.tracer.Start,
 		Dialect: n.Dialect, OnResult: n.logBackendCall, OnOmitted: n.countOmitted, HasAccounts: n.hasAccounts,
 	}
@@ -335,12 +343,15 @@
 	n.hopHandler = &gthop.Handler{LocalBackend: n.localBackend, Timer: n.timer, MaxBodyBytes: cfg.Limit.MaxBodyBytes, OnPanic: n.recordPanic, PausedSince: n.timer.PausedSince, Requests: n.requests}
 	client := &gthop.Client{Now: now, Pool: n.hopPool, Dialect: n.Dialect, MaxBufferBytes: cfg.Limit.MaxBufferBytes, Trace: n.tracer.Start}
 	n.edge = &gtedge.Edge{
-		Now: now, Self: cfg.Node.Instance, IDPrefix: cfg.Node.Instance + "-" + strconv.FormatInt(n.startTime.UnixMilli(), 36) + "-",
+		Now: now, Self: cfg.Node.Instance, Service: cfg.Backend.Service, IDPrefix: cfg.Node.Instance + "-" + strconv.FormatInt(n.startTime.UnixMilli(), 36) + "-",
 		MaxBodyBytes: cfg.Limit.MaxBodyBytes, MaxHops: cfg.Limit.MaxHops, Holder: n.holder, Router: n.router, Instances: n.table.ServiceMembers,
 		Retry: n.retry, Crashes: n.crashes, OnCrash: n.mergeCrash, HistoryKnown: n.dedupHistoryKnown, LocalBackend: n.localBackend, Client: client,
 		MayBegin: n.drain.MayBegin, Closing: n.drain.Begun, OnOutcome: n.recordOutcome, OnResponse: n.recordResponse, Trace: n.tracer.Start, OnPanic: n.recordPanic,
 		Dialect: n.Dialect, Split: split, IsCurrent: n.isCurrent, OnRetry: n.logRetry, OnOmitted: n.countOmittedAttempt, Requests: n.requests,
 	}
+	if cfg.Backend.Throttle {
+		n.edge.Throttle, n.edge.Calls, n.gate.CallsAdmitted = n.throttle, nested, nested.AdmittedShare
+	}
 }
 
 func (n *Node) buildOverlay() {
--- a/io/process/gtsettings/settings.go
+++ b/io/process/gtsettings/settings.go
@@ -92,6 +92,9 @@
 	MaxConnections int `toml:"connections"`
 	// FixedLimit keeps the concurrency limit at Slots instead of adapting it.
 	FixedLimit bool `toml:"fixed"`
+	// Throttle makes the node refuse requests itself, unsent, while several servers refuse
+	// such requests, and requests whose calls to other services are likely to be refused.
+	Throttle bool `toml:"throttle"`
 	// Learn makes the node learn the speed and the capacity of the backend server, which
 	// others then use to choose among the servers of its service.
 	Learn bool `toml:"learn"`
--- a/io/request/gthop/dialect.go
+++ b/io/request/gthop/dialect.go
@@ -21,6 +21,13 @@
 	// RemainingTime returns the remaining time until the caller's deadline, and
 	// false if the request doesn't state it.
 	RemainingTime func(r *http.Request) (time.Duration, bool)
+	// CallerService returns the service that a request to the edge comes from, as this node
+	// knows it.
+	CallerService func(r *http.Request) string
+	// IsNested reports whether a request comes from a backend server that runs another, by
+	// the number in HeaderHops and by whether its route is exempt from the keys that the
+	// configuration asks for. Nil means that such a request has hops.
+	IsNested func(hops int, exempt bool) bool
 	// BackendHeaderFields are the header fields that SetBackendHeader sets for each
 	// request to the backend server. They are removed from requests between nodes.
 	BackendHeaderFields []string
@@ -53,6 +60,24 @@
 	return fallback()
 }
 
+// MarkCaller returns the call with what this node knows of the sender of its request: its
+// service, and whether a backend server makes the call while it runs another. self is the
+// service of this node's backend server; exempt tells whether the route is exempt from the
+// keys that the configuration asks for.
+func (d Dialect) MarkCaller(c gtcall.Call, r *http.Request, self string, exempt bool) gtcall.Call {
+	nested := c.Hops() > 0
+	if d.IsNested != nil {
+		nested = d.IsNested(c.Hops(), exempt)
+	}
+	switch {
+	case d.CallerService != nil:
+		c = c.WithCaller(d.CallerService(r))
+	case nested:
+		c = c.WithCaller(self)
+	}
+	return c.WithNested(nested)
+}
+
 // CredentialOf returns the key of a client account that a request of a caller
 // carries, or "" if it carries none or more than one.
 func (d Dialect) CredentialOf(r *http.Request) string {
--- a/io/request/gthop/handler.go
+++ b/io/request/gthop/handler.go
@@ -82,6 +82,7 @@
 	k := gtkind.Of(err)
 	detail := gtkind.Detail(err)
 	h.setMeta(w.Header(), meta, arrival, k)
+	setWait(w.Header(), err)
 	w.Header()["Content-Type"] = nil
 	w.Header().Set("Content-Length", strconv.Itoa(len(detail)))
 	w.WriteHeader(k.Row().Status())
--- a/io/request/gthop/localbackend.go
+++ b/io/request/gthop/localbackend.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +15,7 @@
 	"godwittide/core/request/gtinflight"
 	"godwittide/core/request/gtkind"
 	"godwittide/core/request/gtroute"
+	"godwittide/core/request/gtthrottle"
 	"godwittide/core/version/gtcanary"
 	"godwittide/io/connection/gtpool"
 )
@@ -21,6 +24,15 @@
 // as evidence about its version, if the backend server doesn't report its warm-up.
 const warmUpPeriod = 10 * time.Second
 
+const (
+	// stuckCheckPeriod is the period at which a request without a response is checked for
+	// being stuck.
+	stuckCheckPeriod = 150 * time.Millisecond
+	// maxLinger is the longest time that the slot of a request stays in use after its
+	// exchange was given up.
+	maxLinger = time.Second
+)
+
 // LocalBackend runs calls on the local backend server. All requests to that
 // server pass through it, as it applies admission control, deduplication and
 // the collection of evidence. Its fields are set before use.
@@ -38,6 +50,9 @@
 	Pool *gtpool.Pool
 	// Gate is the admission gate of the backend server.
 	Gate *gtadmission.Gate
+	// Calls counts the requests that run, to learn how many calls they make; nil means that
+	// they aren't counted.
+	Calls *gtthrottle.Calls
 	// Keys stores the outcomes of requests with an idempotency key.
 	Keys *gtdedup.Keys
 	// Crashes stores the fingerprints of requests that were in flight when a
@@ -226,7 +241,7 @@
 	if err := b.checkMayRun(c); err != nil {
 		return reject(err)
 	}
-	ticket, err := b.Gate.Enter(c.Class(), c.Deadline())
+	ticket, err := b.Gate.Enter(admissionRequest(c))
 	if err != nil {
 		return reject(err)
 	}
@@ -234,6 +249,9 @@
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline())
 	select {
 	case <-ticket.Granted():
+	case <-ticket.Dropped():
+		cancel()
+		return reject(ticket.Err())
 	case <-ctx.Done():
 		ticket.Abandon()
 		cancel()
@@ -253,6 +271,12 @@
 	return resp, err
 }
 
+// admissionRequest returns what the admission gate has to know of a call.
+func admissionRequest(c gtcall.Call) gtadmission.Request {
+	return gtadmission.NewRequest(c.Class(), c.Deadline()).WithTarget(c.DueAt()).WithRoute(c.Route()).
+		WithAccount(c.Account()).WithCaller(c.Caller()).WithNested(c.IsNested())
+}
+
 func (b *LocalBackend) checkMayRun(c gtcall.Call) error {
 	if b.MayRun == nil {
 		return nil
@@ -270,6 +294,9 @@
 		return gtcall.Response{}, err
 	}
 	gtinflight.FromContext(ctx).MoveTo(gtinflight.Working, b.Self().Instance())
+	if b.Calls != nil {
+		b.Calls.RecordRun()
+	}
 	// The span is written to the header of this request, as other attempts may
 	// read the header of the call concurrently.
 	ctx, end := b.Trace(ctx, "backend", req.Header)
@@ -279,9 +306,8 @@
 	finish := func(err error) {
 		latency := b.Now().Sub(start)
 		b.running.Add(-1)
-		result := admissionResult(status, err)
-		ticket.Done(c.Route(), latency, result)
-		if result == gtadmission.Succeeded && b.OnServed != nil && !start.Before(b.warmUpEnd()) {
+		b.release(c, ticket, latency, status, err)
+		if admissionResult(status, err) == gtadmission.Succeeded && b.OnServed != nil && !start.Before(b.warmUpEnd()) {
 			b.OnServed(c.Route(), concurrency, start, start.Add(latency))
 		}
 		b.recordEvidence(c, status, start, latency, err)
@@ -292,7 +318,10 @@
 	if b.OnBegin != nil {
 		notRun = b.OnBegin(c)
 	}
+	ctx, giveUp := context.WithCancelCause(ctx)
+	watch := watchStuck(ticket, giveUp)
 	httpResp, err := b.Pool.Do(ctx, b.Address, c.Class().PoolName(), req, c.Idempotent())
+	watch.stop()
 	if err == nil {
 		status = httpResp.StatusCode
 		if err := b.Dialect.checkResponse(c, status, httpResp.Header); err != nil {
@@ -311,7 +340,9 @@
 		}
 		return gtcall.Response{}, b.classifyFailure(ctx, c, err)
 	}
-	err = b.classifyFailure(ctx, c, err)
+	if err = b.classifyOverflow(ctx, ticket, err); gtkind.Of(err) != gtkind.Overflowed {
+		err = b.classifyFailure(ctx, c, err)
+	}
 	if isNotRun(err) {
 		notRun()
 	}
@@ -322,6 +353,78 @@
 // isNotRun reports whether an error says that the call has not run.
 func isNotRun(err error) bool { return gtkind.Of(err).Row().Certainty() == gtkind.NotRun }
 
+// release releases the slot of a call that has ended. If the server may still run it, since
+// nobody waited for the response any longer, the slot stays in use for as long as requests of
+// its route usually take: the server would queue the next one otherwise.
+func (b *LocalBackend) release(c gtcall.Call, ticket *gtadmission.Ticket, latency time.Duration, status int, err error) {
+	done := func() { ticket.Done(c.Route(), latency, admissionResult(status, err)) }
+	if k := gtkind.Of(err); k == gtkind.Deadline || k == gtkind.Canceled {
+		if rest := min(b.Gate.Load(c.Route()).ServiceTime()-latency, maxLinger); rest > 0 {
+			time.AfterFunc(rest, done)
+			return
+		}
+	}
+	done()
+}
+
+// errStuck ends the exchange of a request that the backend server never responds to.
+var errStuck = errors.New("backend server responds to later requests only")
+
+// stuckWatch checks from time to time whether a ticket's request is stuck, and then ends its
+// exchange by giveUp with errStuck.
+type stuckWatch struct {
+	ticket *gtadmission.Ticket
+	giveUp context.CancelCauseFunc
+
+	mu      sync.Mutex
+	timer   *time.Timer
+	stopped bool
+}
+
+// watchStuck starts a watch, which stop ends.
+func watchStuck(ticket *gtadmission.Ticket, giveUp context.CancelCauseFunc) *stuckWatch {
+	w := &stuckWatch{ticket: ticket, giveUp: giveUp}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(stuckCheckPeriod, w.check)
+	return w
+}
+
+func (w *stuckWatch) check() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.stopped:
+	case w.ticket.IsStuck():
+		w.giveUp(errStuck)
+	default:
+		w.timer.Reset(stuckCheckPeriod)
+	}
+}
+
+func (w *stuckWatch) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.timer.Stop()
+}
+
+// classifyOverflow refines the kind of an exchange that failed before its response because
+// the backend server was full: the server reset the connection, but has not crashed, or it
+// never responds.
+func (b *LocalBackend) classifyOverflow(ctx context.Context, ticket *gtadmission.Ticket, err error) error {
+	switch k := gtkind.Of(err); {
+	case k == gtkind.Canceled && context.Cause(ctx) == errStuck:
+		err = gtkind.Wrap(err, gtkind.Overflowed, "backend server never responds to the request, but to later ones: it was full")
+	case k == gtkind.ConnectionLost && ticket.LooksFull() && !b.CheckDown(context.WithoutCancel(ctx)):
+		err = gtkind.Wrap(err, gtkind.Overflowed, "backend server reset the connection while it had many requests: it is full")
+	default:
+		return err
+	}
+	b.Pool.CloseIdle(b.Address)
+	return err
+}
+
 // forgetCrashes deletes the record of crashes with a request that has now
 // completed without one.
 func (b *LocalBackend) forgetCrashes(c gtcall.Call) {
@@ -361,6 +464,8 @@
 
 func admissionResult(status int, err error) gtadmission.Result {
 	switch {
+	case gtkind.Of(err) == gtkind.Overflowed:
+		return gtadmission.Overflowed
 	case gtkind.Of(err) == gtkind.NotExecuted:
 		return gtadmission.Shed
 	case err != nil:
