gtroute: instances of other zones are tried as unknown only while the own zone is short

Cause: an instance that nothing is known of gets one request in ten, and a sender knows nothing of most instances of other zones; without zone summaries, or without this, the bytes are as before. Raising the cost of another zone to 0.25 changed nothing (0.012). Unknown now means that the instance has not responded to this node, so that a new one gets a request from each sender of its zone.

--- a/core/request/gtroute/estimate.go
+++ b/core/request/gtroute/estimate.go
@@ -43,8 +43,10 @@
 	// explorePart is the part of the requests that go to one of two random instances
 	// whatever their speed, so that slow ones get some requests, too.
 	explorePart = 0.02
-	// newcomerPart is the part of the requests that go to an instance that nothing is
-	// known of, if there is one among the samples.
+	// newcomerPart is the part of the requests that go to an instance that has not responded
+	// to this node yet, if there is one among the samples. Instances of other zones count
+	// only while the own zone is short of capacity: their own zone sends them requests, and
+	// most of them have not responded to this node.
 	newcomerPart = 0.1
 )
 
@@ -111,6 +113,7 @@
 		list = append(list, rt.estimate(rt.sample(buf.local, i), false, q, v, now))
 	}
 	list = rt.addRemote(list, buf.remote, len(buf.local) == 0, q, v, now)
+	short := v.isShort(now)
 	leastErrors := 1.0
 	for i := range list {
 		leastErrors = min(leastErrors, list[i].errorRate)
@@ -122,7 +125,7 @@
 		if e.load >= ejectedLoad || e.errorRate-leastErrors >= minErrorRateGain {
 			continue
 		}
-		if e.newcomer && rt.Rand() < newcomerPart {
+		if e.newcomer && (!e.remote || short) && rt.Rand() < newcomerPart {
 			return *e, true
 		}
 		if cost := e.cost(); best == nil || cost < least {
@@ -183,7 +186,7 @@
 			return
 		}
 		learned := e.describe(p, q.route, now)
-		e.newcomer = !p.capacity.IsKnown() && p.inflight == 0
+		e.newcomer = p.load.limit == 0 && p.inflight == 0
 		capacity = p.capacity
 		busy, variance, limit = p.ahead(meanUse, limit, now)
 		if learned > 0 {
--- a/core/request/gtroute/estimate_test.go
+++ b/core/request/gtroute/estimate_test.go
@@ -77,6 +77,14 @@
 	}
 }
 
+// Requests must stay in their zone while it has room. Senders tried each unknown server of
+// other zones, which doubled the bytes between zones on calm days.
+func TestRequestsStayInTheirZoneWhileItHasRoom(t *testing.T) {
+	g := gomega.NewWithT(t)
+	naive, estimated := compare(t, g, "calm", 0.35, nil)
+	g.Expect(estimated.crossZone).To(gomega.BeNumerically("<", naive.crossZone+0.01))
+}
+
 // When fast servers are short, less urgent requests must leave them to urgent ones.
 func TestLessUrgentRequestsLeaveFastServersFree(t *testing.T) {
 	g := gomega.NewWithT(t)
