--- a/core/request/gtroute/estimate.go
+++ b/core/request/gtroute/estimate.go
@@ -20,6 +20,8 @@
 	// loadDecay is the time constant by which a reported load approaches the mean load of
 	// the instance: what ran then has ended, and others have decided on the same report.
 	loadDecay = time.Second
+	// errorMemory is the time constant by which a reported error rate is forgotten.
+	errorMemory = 4 * time.Second
 	// useCost is the cost of an instance that is in full use, in the probability of being
 	// late that it outweighs. It grows with the fourth power of the share in use, so that
 	// it spreads requests without moving them from fast instances that have room.
@@ -58,7 +60,9 @@
 	// use is the share of the concurrency that is in use.
 	use float64
 	// full is the probability that the request meets no free slot.
-	full     float64
+	full float64
+	// failure is the probability that the response is an error.
+	failure  float64
 	newcomer bool
 	remote   bool
 	// zoneCost is the cost of another zone, or 0.
@@ -68,7 +72,7 @@
 // cost is what estimates are compared by, less being better.
 func (e estimate) cost() float64 {
 	square := e.use * e.use
-	return e.late + fullCost*e.full + useCost*square*square + e.zoneCost
+	return e.failure + (1-e.failure)*e.late + fullCost*e.full + useCost*square*square + e.zoneCost
 }
 
 // choose returns the instance for a request among those in the buffers. If the speeds of
@@ -104,8 +108,8 @@
 }
 
 // bestOf returns the best of a few random instances, and false if the choice by load
-// decides: all are ejected or failing, or they are in full use and the summaries tell of
-// no other zone.
+// decides: all are ejected, or they are in full use and the summaries tell of no other
+// zone.
 func (rt *Router) bestOf(buf *buffers, q Query, v *view, now time.Time) (estimate, bool) {
 	var samples [localSamples + remoteSamples]estimate
 	list := samples[:0]
@@ -114,15 +118,11 @@
 	}
 	list = rt.addRemote(list, buf.remote, len(buf.local) == 0, q, v, now)
 	short := v.isShort(now)
-	leastErrors := 1.0
-	for i := range list {
-		leastErrors = min(leastErrors, list[i].errorRate)
-	}
 	var best *estimate
 	least := 0.0
 	for i := range list {
 		e := &list[i]
-		if e.load >= ejectedLoad || e.errorRate-leastErrors >= minErrorRateGain {
+		if e.load >= ejectedLoad {
 			continue
 		}
 		if e.newcomer && (!e.remote || short) && rt.Rand() < newcomerPart {
@@ -186,6 +186,7 @@
 			return
 		}
 		learned := e.describe(p, q.route, now)
+		e.failure = p.load.errorRate * math.Exp(-now.Sub(p.loadAt).Seconds()/errorMemory.Seconds())
 		e.newcomer = p.load.limit == 0 && p.inflight == 0
 		capacity = p.capacity
 		busy, variance, limit = p.ahead(meanUse, limit, now)
