--- a/core/request/gtroute/estimate_test.go
+++ b/core/request/gtroute/estimate_test.go
@@ -277,6 +277,38 @@
 	g.Expect(estimated.urgent).To(gomega.BeNumerically(">=", naive.urgent))
 }
 
+// Servers that fail a part of their requests at once look idle and fast. They must not attract
+// requests, and must still get them once the others are full.
+func TestFailingServersAreUsedOnlyForWhatOthersCantTake(t *testing.T) {
+	g := gomega.NewWithT(t)
+	fail := func(is func(i int) bool, part float64) func(f *fleet) {
+		return func(f *fleet) {
+			for i, s := range f.servers {
+				if is(i) {
+					s.failing = func(at time.Duration) float64 {
+						if at > 25*time.Second && at < 35*time.Second {
+							return part
+						}
+						return 0
+					}
+				}
+			}
+		}
+	}
+	for _, load := range []float64{0.5, 0.8} {
+		for name, change := range map[string]func(f *fleet){
+			"one in seven fails":       fail(func(i int) bool { return i%7 == 0 }, 0.45),
+			"one in two fails":         fail(func(i int) bool { return i%2 == 0 }, 0.4),
+			"all but one in five fail": fail(func(i int) bool { return i%5 != 0 }, 0.4),
+		} {
+			naive, estimated := compare(t, g, name, load, change)
+			g.Expect(estimated.all).To(gomega.BeNumerically(">=", naive.all), name)
+			g.Expect(estimated.urgent).To(gomega.BeNumerically(">=", naive.urgent), name)
+			g.Expect(estimated.refused).To(gomega.BeNumerically("<=", naive.refused), name)
+		}
+	}
+}
+
 // A service whose servers are about equally fast must be served as before: with the same
 // random numbers, each request goes to the same server.
 func TestEquallyFastServersAreServedAsBefore(t *testing.T) {
--- a/core/request/gtroute/fleet_test.go
+++ b/core/request/gtroute/fleet_test.go
@@ -74,6 +74,10 @@
 	queue   []simRequest
 	// slow is the factor of the service time at a time and concurrency; nil means 1.
 	slow func(at time.Duration, concurrency int) float64
+	// failing is the part of the requests that end at once with an error at a time; nil
+	// means none.
+	failing func(at time.Duration) float64
+	errors  ErrorRate
 	// meanBusy is the moving average of the requests that run or wait.
 	meanBusy float64
 	// estimator learns from the server's responses; nil means that what servers report
@@ -106,6 +110,9 @@
 
 var simStart = time.Unix(1000, 0)
 
+// errorTime is the time that a request takes which ends with an error.
+const errorTime = 2 * time.Millisecond
+
 // newFleet returns a fleet with the given numbers of zones, and of servers and senders in
 // each. The speeds of the servers are drawn from 0.5 to 1.7 with a mean of 1, and their
 // slots from 4 to 13.
@@ -316,12 +323,17 @@
 		took *= s.slow(f.now.Sub(simStart), concurrency)
 	}
 	d := time.Duration(took * float64(time.Second))
+	failed := s.failing != nil && f.rand.Float64() < s.failing(f.now.Sub(simStart))
+	if failed {
+		d = errorTime
+	}
 	f.at(d, func() {
 		s.running--
-		if s.estimator != nil {
+		s.errors.Add(failed, f.now)
+		if s.estimator != nil && !failed {
 			s.estimator.Observe(kinds[req.kind].route, concurrency, d, f.now)
 		}
-		if f.counts(req.begun) && f.now.Sub(req.begun) <= kinds[req.kind].target {
+		if !failed && f.counts(req.begun) && f.now.Sub(req.begun) <= kinds[req.kind].target {
 			f.inTime[req.kind]++
 		}
 		if len(s.queue) > 0 {
@@ -335,7 +347,7 @@
 
 // load returns the load of a server, for a response to a request of the kind.
 func (f *fleet) load(s *simServer, kind int) Load {
-	l := NewLoad(s.running+len(s.queue), s.slots)
+	l := NewLoad(s.running+len(s.queue), s.slots).WithErrorRate(s.errors.Value(f.now))
 	if kind >= 0 {
 		l = l.WithServiceTime(time.Duration(float64(kinds[kind].work) / s.speed))
 	}
