gtadmission, gthop: backend servers that are full are recognised and get less

Cause: a reset was only told apart from a crash, by a probe, and counted as a failure of the instance. A request that a full server never responds to held its slot until its deadline. A fixed limit, as on the users' platform, was never lowered.

- the response of a request that is being given up is not read: its body was cut off if the head came in the same moment (Ticket.Responded)
- a reset lowers nothing if within a second more requests got responses with as many in flight, nor if nothing shows that the server runs other requests, nor after a process pause
- the decrease is undone if all that were in flight at that time are lost, too
- a request is given up as unresponsive only if another one is overtaken like it, or the server was full lately
- an abandoned request keeps its slot only if the server was full within 32 s
- stuck requests are looked for when a request ends: no timer for each request
- gtpool closes as many idle connections as a lowered limit asks for, not just one
- the limit returns to the slots when the backend server starts again

--- a/core/request/gtadmission/gate.go
+++ b/core/request/gtadmission/gate.go
@@ -64,6 +64,9 @@
 	// NoResponse means that no complete response arrived. The latency of such a
 	// request does not affect the limit.
 	NoResponse
+	// Overflowed means that the backend server was full: it reset the connection, or never
+	// responds to the request.
+	Overflowed
 )
 
 // Gate admits requests to one backend server. Its state is a shard of its own,
@@ -81,6 +84,9 @@
 	// Fixed keeps the limit at Slots, for comparison with the adaptive limit. It
 	// is set before use.
 	Fixed bool
+	// MaxConnections returns how many connections the backend server accepts, or 0 if that is
+	// unknown. No more requests run at once. It is set before use; nil means unknown.
+	MaxConnections func() int
 
 	mu           sync.Mutex
 	limiter      limiter
@@ -95,6 +101,7 @@
 	warmUp       warmUpLimiter
 	serviceTimes map[string]time.Duration
 	errorRate    gtroute.ErrorRate
+	overflow     overflow
 }
 
 // Ticket represents one request that the gate has queued or granted.
@@ -106,6 +113,18 @@
 	running      bool
 	finished     bool
 	limitReached bool
+
+	// Since the request was sent to the backend server:
+	route     string
+	sequence  uint64
+	sentAt    time.Time
+	inFlight  int // running requests when it was sent, itself included
+	overtaken int // requests sent later that got a response
+	// earlierEnded is the number of requests sent earlier that got a response since.
+	earlierEnded int
+	responded    bool   // the head of the response has arrived
+	stuck        bool   // giveUp was called
+	giveUp       func() // ends the exchange; nil once it is not to be called any more
 }
 
 // Enter admits a request and returns its ticket, which is granted immediately or
@@ -165,7 +184,7 @@
 
 // hasRoom reports whether another request of the class may run now.
 func (g *Gate) hasRoom(class gtconfig.Class, now time.Time) bool {
-	limit := g.limiter.current()
+	limit := g.limit()
 	total := g.runningTotal()
 	if class == gtconfig.Fast {
 		return total < limit
@@ -218,7 +237,7 @@
 		ahead += len(g.queue[c])
 	}
 	mean := g.meanLatency[class]
-	wait := time.Duration(float64(mean) * float64(ahead) / g.limiter.limit)
+	wait := time.Duration(float64(mean) * float64(ahead) / float64(g.limit()))
 	if len(g.queue[class]) >= g.queueCapacity(class, now) {
 		return wait, gtkind.New(gtkind.Full, "admission queue is full")
 	}
@@ -254,6 +273,7 @@
 	t.finished = true
 	if t.running {
 		g.running[t.class]--
+		g.endExchange(t, false)
 		g.grantQueued(g.Now())
 		return true
 	}
@@ -265,35 +285,53 @@
 // The latency is the time that the backend server took; it is compared only with
 // that of other requests on the same route.
 func (t *Ticket) Done(route string, latency time.Duration, result Result) {
-	g := t.gate
+	for _, giveUp := range t.gate.finish(t, route, latency, result) {
+		giveUp()
+	}
+}
+
+// finish ends a granted ticket. It returns the functions that give up the requests which are
+// found to be stuck, to be called without the lock.
+func (g *Gate) finish(t *Ticket, route string, latency time.Duration, result Result) []func() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if t.finished {
-		return
+		return nil
 	}
 	t.finished = true
 	now := g.Now()
 	g.running[t.class]--
+	g.endExchange(t, result == Succeeded || result == ServerError || result == Shed)
 	g.record(t, route, latency, result, now)
 	g.grantQueued(now)
+	return g.stuckRequests(now)
 }
 
 // record updates the statistics and the limit from the result of a request.
-// Except for shed requests, results that span a process pause are ignored.
+// Except for requests that the server had no room for, results that span a process pause are
+// ignored.
 func (g *Gate) record(t *Ticket, route string, latency time.Duration, result Result, now time.Time) {
-	if result != Shed && g.wasPausedSince(now.Add(-latency)) {
+	if result != Shed && result != Overflowed && g.wasPausedSince(now.Add(-latency)) {
 		return
 	}
 	switch result {
 	case Succeeded:
 		g.updateMeanLatency(t.class, latency)
+		g.noteLongest(route, latency, now)
 		g.errorRate.Add(false, now)
-	case ServerError, Shed:
+	case ServerError, Shed, Overflowed:
 		g.errorRate.Add(true, now)
 	case NoResponse:
 	}
 	g.updateServiceTime(route, latency, result)
+	if result == Overflowed {
+		g.observeOverflow(t, now)
+		return
+	}
 	if g.Fixed {
+		if result == Succeeded {
+			g.limiter.recover(now)
+		}
 		return
 	}
 	switch result {
@@ -301,7 +339,7 @@
 		g.limiter.observe(route, latency, t.limitReached, now)
 	case Shed:
 		g.limiter.observeShed(g.runningTotal(), now)
-	case NoResponse, ServerError:
+	case NoResponse, ServerError, Overflowed:
 	}
 }
 
@@ -333,16 +371,18 @@
 	}
 }
 
-// Reset clears the statistics and returns the limit, unless it is fixed, to its
-// initial value. It is called when the backend server has started or may have to
+// Reset clears the statistics and returns the limit to its initial value, or to the number
+// of slots if it is fixed. It is called when the backend server has started or may have to
 // warm up again.
 func (g *Gate) Reset() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.ensureInitialized()
-	if !g.Fixed {
-		g.limiter.reset(g.Slots, now)
+	g.limiter.reset(g.Slots, now)
+	if g.Fixed {
+		g.limiter.limit = float64(g.Slots)
 	}
+	g.overflow.longestTimes, g.overflow.lowering, g.overflow.at = nil, nil, time.Time{}
 	g.meanLatency = [classCount]time.Duration{}
 	g.serviceTimes, g.errorRate = nil, gtroute.ErrorRate{}
 }
@@ -361,6 +401,7 @@
 	if g.Fixed {
 		g.limiter.limit = float64(slots)
 	}
+	g.overflow.lowering = nil
 }
 
 // Close makes the gate refuse new requests with the given kind. Requests that
@@ -383,9 +424,9 @@
 		busy += g.running[c] + len(g.queue[c])
 	}
 	if g.warmUp.exhausted(now) {
-		busy = max(busy, warmUpLoad*g.limiter.current())
+		busy = max(busy, warmUpLoad*g.limit())
 	}
-	return gtroute.NewLoad(busy, g.limiter.current()).WithServiceTime(g.serviceTimes[route]).WithErrorRate(g.errorRate.Value(now))
+	return gtroute.NewLoad(busy, g.limit()).WithServiceTime(g.serviceTimes[route]).WithErrorRate(g.errorRate.Value(now))
 }
 
 // Refused returns how many requests the gate has refused with the kind Full.
--- a/core/request/gtadmission/servicetime.go
+++ b/core/request/gtadmission/servicetime.go
@@ -12,7 +12,7 @@
 func (g *Gate) updateServiceTime(route string, latency time.Duration, result Result) {
 	previous, known := g.serviceTimes[route]
 	switch {
-	case result == Shed, result != Succeeded && latency <= previous:
+	case result == Shed, result == Overflowed, result != Succeeded && latency <= previous:
 		return
 	case !known && len(g.serviceTimes) >= maxRoutes:
 		return
--- a/core/request/gtkind/kind.go
+++ b/core/request/gtkind/kind.go
@@ -80,6 +80,9 @@
 	// NotExecuted means that the backend server responded that it did not run the
 	// request.
 	NotExecuted
+	// Overflowed means that the backend server was full: it reset the connection, or never
+	// responds to the request. The request may have run.
+	Overflowed
 	// Conflict means that the idempotency key was used for another request.
 	Conflict
 	// OutcomeUnknown means that the outcome of an earlier request with the
@@ -175,6 +178,7 @@
 	Crashed:            {"crashed", Unknown, 502, true, time.Second, true},
 	Shed:               {"shed", Unknown, 503, true, time.Second, true},
 	NotExecuted:        {"turned", NotRun, 503, true, time.Second, true},
+	Overflowed:         {"overflowed", Unknown, 502, true, time.Second, true},
 	Conflict:           {"conflict", Unknown, 409, false, 0, false},
 	OutcomeUnknown:     {"forgotten", Unknown, 409, false, 0, false},
 	Canceled:           {"canceled", Unknown, 499, false, 0, false},
--- a/io/connection/gtpool/pool.go
+++ b/io/connection/gtpool/pool.go
@@ -191,15 +191,18 @@
 }
 
 // reserve counts a new connection to addr and reports whether it may be opened.
-// If the limit is reached, it closes an idle connection of any class to make room.
+// If the limit is reached, it closes idle connections of any class to make room: several
+// if the limit has fallen.
 func (p *Pool) reserve(addr string) bool {
 	if p.tryReserve(addr) {
 		return true
 	}
 	for _, class := range []string{"fast", "normal", ""} {
-		if c := p.popIdle(addr, class); c != nil {
+		for c := p.popIdle(addr, class); c != nil; c = p.popIdle(addr, class) {
 			c.close()
-			return p.tryReserve(addr)
+			if p.tryReserve(addr) {
+				return true
+			}
 		}
 	}
 	return false
--- a/io/process/gtnode/admin.go
+++ b/io/process/gtnode/admin.go
@@ -189,6 +189,7 @@
 	n.scope.Gauge("busy").Update(float64(s.Busy))
 	n.updatePipelineMetrics()
 	n.scope.Gauge("refused").Update(float64(n.gate.Refused()))
+	n.reportOverflows()
 	n.scope.Gauge("control_sent_bytes").Update(float64(s.ControlBytesSent))
 	n.scope.Gauge("control_received_bytes").Update(float64(s.ControlBytesReceived))
 	n.scope.Gauge("capacity_speed").Update(n.capacity.Speed())
--- a/io/process/gtnode/backend.go
+++ b/io/process/gtnode/backend.go
@@ -92,13 +92,34 @@
 	return d.DialContext(ctx, "tcp", addr)
 }
 
-// backendConnLimit returns the number of connections to the backend server that its
-// service allows, or 0 if the configuration sets none.
-func (n *Node) backendConnLimit() int {
+// maxBackendConns returns the number of connections to the backend server that its service
+// allows, or 0 if the configuration sets none.
+func (n *Node) maxBackendConns() int {
 	service, _ := n.holder.Current().Config().Service(n.Settings.Backend.Service)
 	return service.MaxConnections()
 }
 
+// backendConnLimit returns the number of connections to the backend server that its
+// service allows, and fewer after the server was full, or 0 if there is no limit.
+func (n *Node) backendConnLimit() int {
+	configured, learned := n.maxBackendConns(), n.gate.ConnLimit()
+	if configured == 0 || learned == 0 {
+		return max(configured, learned)
+	}
+	return min(configured, learned)
+}
+
+// reportOverflows sets the gauge of requests that the backend server had no room for, and
+// logs those since the last report.
+func (n *Node) reportOverflows() {
+	total := n.gate.Overflows()
+	n.scope.Gauge("overflows").Update(float64(total))
+	if d := total - n.overflows; d > 0 {
+		n.Log.Warn().Uint64("requests", d).Int("limit", n.gate.Load("").Limit()).Msg("backend: full; requests were reset or got no response")
+	}
+	n.overflows = total
+}
+
 // initBackendState sets the initial state of the backend server: it probes the
 // server once, or closes the admission gate until the first heartbeat.
 func (n *Node) initBackendState(ctx context.Context) {
--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -138,6 +138,7 @@
 
 	budget       *gtbudget.Budget
 	gate         *gtadmission.Gate
+	overflows    uint64 // of the gate at the last report; used by the thread that updates gauges only
 	capacity     *gtcapacity.Estimator
 	calls        *gtcapacity.Calls
 	summaries    *gtsummary.Table
@@ -314,7 +315,7 @@
 	n.metrics = gtmetric.New()
 	n.scope = n.metrics.Scope()
 	n.budget = &gtbudget.Budget{Bytes: int64(cfg.Limit.MemoryBytes), Now: now}
-	n.gate = &gtadmission.Gate{Now: now, Slots: cfg.Backend.Slots, Fixed: cfg.Backend.FixedLimit, PausedSince: n.timer.PausedSince}
+	n.gate = &gtadmission.Gate{Now: now, Slots: cfg.Backend.Slots, Fixed: cfg.Backend.FixedLimit, PausedSince: n.timer.PausedSince, MaxConnections: n.maxBackendConns}
 	n.capacity, n.calls = &gtcapacity.Estimator{PausedSince: n.timer.PausedSince}, &gtcapacity.Calls{}
 	n.dedup = &gtdedup.Keys{Now: now}
 	split := &gtsplit.Split{Rand: rand.Float64}
--- a/io/process/gtnode/requestlog.go
+++ b/io/process/gtnode/requestlog.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		e = e.Str("certainty", k.Row().Certainty().String()).Str("why", gtkind.Detail(err))
 	}
-	if k == gtkind.ConnectionLost {
+	if k == gtkind.ConnectionLost || k == gtkind.Overflowed {
 		e = e.Str("error", rootCause(err).Error())
 	}
 	return e
--- a/io/request/gtedge/edge.go
+++ b/io/request/gtedge/edge.go
@@ -454,14 +454,14 @@
 }
 
 // recordOutcome reports the outcome of an attempt as evidence about the version.
-// Of the errors, only a lost connection and a crash count; others may have causes
+// Of the errors, only a lost connection, also if the server was full, and a crash count; others may have causes
 // outside the version, such as the network.
 func (e *Edge) recordOutcome(c gtcall.Call, to gtmember.Record, resp gtcall.Response, k gtkind.Kind, d time.Duration) {
 	failed := false
 	switch k {
 	case gtkind.None:
 		failed = resp.Status() >= http.StatusInternalServerError && resp.Status() != http.StatusServiceUnavailable
-	case gtkind.ConnectionLost, gtkind.Crashed:
+	case gtkind.ConnectionLost, gtkind.Overflowed, gtkind.Crashed:
 		failed = true
 	default:
 		if e.OnOmitted != nil {
--- a/io/request/gthop/localbackend.go
+++ b/io/request/gthop/localbackend.go
@@ -280,7 +280,7 @@
 		latency := b.Now().Sub(start)
 		b.running.Add(-1)
 		result := admissionResult(status, err)
-		ticket.Done(c.Route(), latency, result)
+		release(c, ticket, latency, result, err)
 		if result == gtadmission.Succeeded && b.OnServed != nil && !start.Before(b.warmUpEnd()) {
 			b.OnServed(c.Route(), concurrency, start, start.Add(latency))
 		}
@@ -292,7 +292,14 @@
 	if b.OnBegin != nil {
 		notRun = b.OnBegin(c)
 	}
+	ctx, giveUp := context.WithCancel(ctx)
+	ticket.Sent(c.Route(), giveUp)
 	httpResp, err := b.Pool.Do(ctx, b.Address, c.Class().PoolName(), req, c.Idempotent())
+	if err == nil && !ticket.Responded() {
+		// The exchange has been interrupted, so that the body would be cut off.
+		gtpool.Discard(httpResp)
+		err = gtkind.New(gtkind.Canceled, "response arrived as the request was given up")
+	}
 	if err == nil {
 		status = httpResp.StatusCode
 		if err := b.Dialect.checkResponse(c, status, httpResp.Header); err != nil {
@@ -311,7 +318,7 @@
 		}
 		return gtcall.Response{}, b.classifyFailure(ctx, c, err)
 	}
-	err = b.classifyFailure(ctx, c, err)
+	err = b.classifyUnanswered(ctx, c, ticket, err)
 	if isNotRun(err) {
 		notRun()
 	}
@@ -319,6 +326,43 @@
 	return gtcall.Response{}, err
 }
 
+// release releases the slot of a call that has ended. If the server was full lately and may
+// still run the call, as nobody waited for the response any longer, the slot stays in use for
+// as long as requests of its route usually take.
+func release(c gtcall.Call, ticket *gtadmission.Ticket, latency time.Duration, result gtadmission.Result, err error) {
+	done := func() { ticket.Done(c.Route(), latency, result) }
+	if k := gtkind.Of(err); k == gtkind.Deadline || k == gtkind.Canceled {
+		if rest := ticket.Linger(latency); rest > 0 {
+			time.AfterFunc(rest, done)
+			return
+		}
+	}
+	done()
+}
+
+// classifyUnanswered refines the kind of an exchange that failed before the head of its
+// response. A server that was full never responds, or has reset the connection and still
+// accepts others. The idle connections are then closed, too, to leave it room.
+func (b *LocalBackend) classifyUnanswered(ctx context.Context, c gtcall.Call, ticket *gtadmission.Ticket, err error) error {
+	k := gtkind.Of(err)
+	switch {
+	case ticket.IsStuck() && (k == gtkind.Refused || k == gtkind.StaleConnection):
+		err = gtkind.Wrap(err, gtkind.Full, "backend server responds to later requests, but nothing was written of this one: it was full")
+	case ticket.IsStuck() && k == gtkind.Canceled:
+		err = gtkind.Wrap(err, gtkind.Overflowed, "backend server never responds to the request, but to later ones: it was full")
+	case k == gtkind.ConnectionLost:
+		full := ticket.WasReset()
+		if err = b.classifyFailure(ctx, c, err); gtkind.Of(err) != gtkind.ConnectionLost || !full {
+			return err
+		}
+		err = gtkind.Wrap(err, gtkind.Overflowed, "backend server reset the connection while it had many requests: it is full")
+	default:
+		return b.classifyFailure(ctx, c, err)
+	}
+	b.Pool.CloseIdle(b.Address)
+	return err
+}
+
 // isNotRun reports whether an error says that the call has not run.
 func isNotRun(err error) bool { return gtkind.Of(err).Row().Certainty() == gtkind.NotRun }
 
@@ -361,6 +405,8 @@
 
 func admissionResult(status int, err error) gtadmission.Result {
 	switch {
+	case gtkind.Of(err) == gtkind.Overflowed:
+		return gtadmission.Overflowed
 	case gtkind.Of(err) == gtkind.NotExecuted:
 		return gtadmission.Shed
 	case err != nil:
