--- a/core/request/gtadmission/overflow_test.go
+++ b/core/request/gtadmission/overflow_test.go
@@ -168,6 +168,14 @@
 			}
 		}
 	})
+	t.Run("a server that has responded to none and resets all in turn", func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		f := newFullGate(8)
+		for _, o := range f.send(g, 8) {
+			g.Expect(f.reset(o)).To(gomega.BeFalse())
+		}
+		g.Expect(f.current()).To(gomega.Equal(8))
+	})
 	t.Run("after a process pause", func(t *testing.T) {
 		g := gomega.NewWithT(t)
 		f := newFullGate(8)
--- a/io/connection/gtpool/limit_test.go
+++ b/io/connection/gtpool/limit_test.go
@@ -45,3 +45,36 @@
 		g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.Full), "the limit of the settings holds without one of the service")
 	})
 }
+
+// A limit that has fallen below the number of idle connections must not refuse a request
+// while these are all that is in the way, whatever class they are kept for.
+func TestLoweredLimitClosesIdleConnections(t *testing.T) {
+	gtclock.Run(t, func(t *testing.T, network *gtpipe.Network) {
+		g := gomega.NewWithT(t)
+		addr, _ := servePeer(t, network, func(_ int, w io.Writer, _ *http.Request) bool { return writeOK(w) })
+		p := newPool(network)
+		defer p.Close()
+		limit := 0
+		p.ConnLimit = func() int { return limit }
+		var held []*http.Response
+		hold := func(class string) {
+			req, _ := http.NewRequest(http.MethodGet, "http://"+addr+"/x", nil)
+			resp, err := p.Do(context.Background(), addr, class, req, true)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			held = append(held, resp)
+		}
+		for range 4 {
+			hold("normal")
+		}
+		for _, resp := range held {
+			_, err := io.Copy(io.Discard, resp.Body)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			resp.Body.Close()
+		}
+		g.Expect(p.OpenConns(addr)).To(gomega.Equal(4))
+		limit = 2
+		hold("fast")
+		g.Expect(p.OpenConns(addr)).To(gomega.Equal(2))
+		held[4].Body.Close()
+	})
+}
