gtadmission: late resets, and requests that wait for their callers

- A full server may reset a request that it had queued late, when most of the others are done.
The limit then fell to the few that were left, 1 at worst.
Now it doesn't fall below the number of requests that were in flight when this one came and that were not lost.
- Sent takes no giveUp for a request that waits for its caller, as one whose body is streamed will: slow reading by the server can't be told from a slow caller.

Requests of the last second may get their deadline if the server never responds, no others, and they are still counted against what the server rejected.

--- a/core/request/gtadmission/gate.go
+++ b/core/request/gtadmission/gate.go
@@ -120,11 +120,11 @@
 	sentAt    time.Time
 	inFlight  int // running requests when it was sent, itself included
 	overtaken int // requests sent later that got a response
-	// earlierEnded is the number of requests sent earlier that got a response since.
-	earlierEnded int
-	responded    bool   // the head of the response has arrived
-	stuck        bool   // giveUp was called
-	giveUp       func() // ends the exchange; nil once it is not to be called any more
+	// earlierEnded is the number of requests sent earlier that got a response since,
+	// earlierInFlight of those that were still in flight when this one ended.
+	earlierEnded, earlierInFlight int
+	stuck                         bool   // giveUp was called
+	giveUp                        func() // ends the exchange; nil once it is not to be called any more
 }
 
 // Enter admits a request and returns its ticket, which is granted immediately or
--- a/core/request/gtadmission/overflow.go
+++ b/core/request/gtadmission/overflow.go
@@ -86,7 +86,8 @@
 }
 
 // Sent records that the ticket's request is sent to the server now. giveUp is called at most
-// once, by another thread, if the server is found to never respond to the request.
+// once, by another thread, if the server is found to never respond to the request. It is nil
+// for a request that may wait for its caller, as while its body is read.
 func (t *Ticket) Sent(route string, giveUp func()) {
 	g := t.gate
 	g.mu.Lock()
@@ -104,7 +105,6 @@
 	g := t.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	t.responded = true
 	t.giveUp = nil
 	return !t.stuck
 }
@@ -208,6 +208,11 @@
 	}
 	o.sent = slices.Delete(o.sent, i, i+1)
 	t.giveUp = nil
+	for _, earlier := range o.sent[:i] {
+		if !earlier.stuck {
+			t.earlierInFlight++
+		}
+	}
 	if responded {
 		o.respondedAt = g.Now()
 		o.addSample(sample{o.respondedAt, t.earlierEnded + 1, false})
@@ -267,7 +272,7 @@
 		return nil
 	}
 	for _, t := range g.overflow.sent {
-		if !t.isOvertaken() || t.giveUp == nil || !t.takesTooLong(now) {
+		if t.stuck || !t.isOvertaken() || !t.takesTooLong(now) {
 			continue
 		}
 		if responses, _ := g.overflow.samplesAt(t.inFlight, t.sentAt); responses <= suspects {
@@ -279,9 +284,10 @@
 }
 
 // isOvertaken reports whether the server had many requests when this one was sent, and has
-// since responded to many that were sent later.
+// since responded to many that were sent later. It is false for one that is not to be given
+// up.
 func (t *Ticket) isOvertaken() bool {
-	return !t.responded && t.hadManyRequests() && t.overtaken >= overtakenPerSlot*t.gate.limit()
+	return (t.giveUp != nil || t.stuck) && t.hadManyRequests() && t.overtaken >= overtakenPerSlot*t.gate.limit()
 }
 
 // takesTooLong reports whether the request has had no response for much longer than any on
@@ -294,8 +300,10 @@
 }
 
 // observeOverflow lowers the limit to the number of other running requests, whether it is
-// fixed or not. After a reset that has to be confirmed by the response of another request:
-// if there is none in flight, nothing tells how many the server can run.
+// fixed or not, but not below the number of those that the server had when this one came and
+// that were not lost: it may have reset this one late. After a reset that has to be confirmed
+// by the response of another request: if there is none in flight, nothing tells how many the
+// server can run.
 func (g *Gate) observeOverflow(t *Ticket, now time.Time) {
 	o := &g.overflow
 	o.count++
@@ -309,7 +317,7 @@
 	if now.Sub(g.limiter.holdUntil) > fullMemory {
 		g.limiter.holdTime = 0
 	}
-	g.limiter.observeShed(g.runningTotal(), now)
+	g.limiter.observeShed(max(g.runningTotal(), t.earlierInFlight+t.earlierEnded), now)
 }
 
 // recover raises a fixed limit that was lowered because the server was full.
--- a/core/request/gtadmission/overflow_test.go
+++ b/core/request/gtadmission/overflow_test.go
@@ -91,6 +91,41 @@
 	g.Expect(f.Overflows()).To(gomega.Equal(uint64(3)))
 }
 
+// Guards against a limit of 1 after a server has reset a request late, when most of those
+// that it had at that time have been served.
+func TestLateResetLowersTheLimitToWhatWasServed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFullGate(8)
+	f.serveRounds(g, 3, 4)
+	sent := f.send(g, 8)
+	f.now = f.now.Add(1100 * ms)
+	f.respond(sent[:6]...)
+	g.Expect(f.reset(sent[7])).To(gomega.BeTrue())
+	g.Expect(f.current()).To(gomega.Equal(7))
+	f.respond(sent[6])
+	g.Expect(f.current()).To(gomega.Equal(7))
+}
+
+// Guards against giving up requests that wait for their callers, as while a body is read.
+func TestRequestsThatWaitForTheirCallersAreNotGivenUp(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFullGate(8)
+	f.serveRounds(g, 3, 4)
+	var sent []*Ticket
+	for range 8 {
+		o, err := f.Enter(gtconfig.Normal, f.now.Add(10*time.Second))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		o.Sent("r", nil)
+		sent = append(sent, o)
+	}
+	f.now = f.now.Add(100 * ms)
+	f.respond(sent[:5]...)
+	f.serveRounds(g, 20, 5)
+	g.Expect(sent[5].IsStuck()).To(gomega.BeFalse())
+	f.respond(sent[5:]...)
+	g.Expect(f.current()).To(gomega.Equal(8))
+}
+
 // Guards against a limit that stays low, or comes back at once, after the server was full.
 func TestFixedLimitReturnsAfterTheHold(t *testing.T) {
 	g := gomega.NewWithT(t)
