gtduties: receivers get counts in turn, and the holder asks them before it closes a window

Its node sent its counts to all receivers at once each 400 ms, so that a kill lost up to 8 in 100 of a window. Trace of TestCallsThatAreExecutedLate: the node that ran all of tenant2 sent at 20.800 and was killed at 21.200; the requests begun at 20.850 and 21.050 were sent to nobody but itself. Of 22 traced failures of a count, in 9 two requests were lost like that, and in 13 one was, and another was counted in the window before, as the machine's clock was 30 ms off.

- Receivers are sent counts at different turns of 100 ms, at the same number of messages.
Before it closes a window the holder asks the others for counts of processes that haven't declared it complete.
A kill loses 200 ms of counts, not 400.
- A receiver asks the others for all they know as soon as it is one, and not only when it may take the duty.
Trace of "counts were lost: all candidates have started since": the receivers were killed at 29.04 and 32.05; the first was ready at 30.05, but candidates wait a second until they take the fleet for known, and asked only then.

Without a fence a window is closed 1.2 s after its end at the latest, not 1.5, to leave time for the question.

--- a/core/process/gtduty/duty.go
+++ b/core/process/gtduty/duty.go
@@ -20,12 +20,15 @@
 )
 
 const (
-	// Candidates is the number of first-ranked nodes that may take a duty.
+	// Candidates is the number of first-ranked nodes that may take a duty. All of them are
+	// sent counts, so that those of ended processes survive if two fail within seconds.
 	Candidates = 3
-	// Receivers is the number of first-ranked candidates that are sent counts whether or
-	// not they hold the duty. A third one would add half to the bytes of every node, and
-	// only helps if two candidates fail within seconds.
-	Receivers = 2
+	// eagerCandidates is the number of candidates that take the duty when they first find it
+	// without a holder.
+	eagerCandidates = 2
+	// FormerReceivers is the number of candidates that nodes of earlier versions send counts to.
+	// They send them to another holder as well if a response names it.
+	FormerReceivers = 2
 	// PollPeriod is the period at which a candidate reads who holds the duty.
 	PollPeriod = time.Second
 	// maxCallTimeout bounds the timeout of a call for a duty.
@@ -78,13 +81,13 @@
 }
 
 // ShouldTake reports whether a candidate with a rank, starting at 0, tries to take the
-// duty after it has found it without a holder in a number of reads in a row. Candidates
-// that weren't sent counts leave the others a period's start.
+// duty after it has found it without a holder in a number of reads in a row. The last
+// candidate leaves the others a period's start, which saves calls of the store.
 func ShouldTake(rank, absences int) bool {
 	switch {
 	case rank < 0 || rank >= Candidates:
 		return false
-	case rank >= Receivers:
+	case rank >= eagerCandidates:
 		return absences >= 2
 	default:
 		return absences >= 1
--- a/core/process/gtusage/ledger.go
+++ b/core/process/gtusage/ledger.go
@@ -13,6 +13,9 @@
 	// maxCloseDelay bounds the wait for nodes whose counts of a window are missing. A node
 	// that is paused or cut off for longer loses them.
 	maxCloseDelay = 3 * time.Second
+	// AskTime bounds the time for which the holder asks the other receivers for their counts
+	// before it closes a window.
+	AskTime = 300 * time.Millisecond
 	// maxBacklog bounds the number of stored windows that wait for their call. At the
 	// default length it is four minutes of an unreachable duty address.
 	maxBacklog = 48
@@ -42,7 +45,7 @@
 // CloseDelay returns how long a window may wait for missing counts: not so long that a
 // holder that is killed right before the report makes it late.
 func (t Timing) CloseDelay() time.Duration {
-	return max(closeDelay, min(maxCloseDelay, t.due-t.takeover))
+	return max(closeDelay, min(maxCloseDelay, t.due-t.takeover-AskTime))
 }
 
 // ActionKind is what the holder does next.
--- a/core/process/gtusage/sums.go
+++ b/core/process/gtusage/sums.go
@@ -246,10 +246,24 @@
 
 // Snapshots returns all that is known, ordered by process.
 func (s *Sums) Snapshots() []Snapshot {
+	return s.snapshots(func(*source) bool { return true }, func(int64) bool { return true })
+}
+
+// SnapshotsOf returns the counts of one window of the processes that have counts in it and
+// haven't declared it complete, ordered by process.
+func (s *Sums) SnapshotsOf(window int64) []Snapshot {
+	return s.snapshots(
+		func(src *source) bool { return src.windows[window] != nil && !src.windows[window].final },
+		func(k int64) bool { return k == window })
+}
+
+func (s *Sums) snapshots(hasSource func(*source) bool, hasWindow func(k int64) bool) []Snapshot {
 	var out []Snapshot
 	s.sources.Each(func(m map[string]*source) {
 		for _, src := range m {
-			out = append(out, src.snapshot())
+			if hasSource(src) {
+				out = append(out, src.snapshot(hasWindow))
+			}
 		}
 	})
 	slices.SortFunc(out, func(a, b Snapshot) int {
@@ -258,9 +272,12 @@
 	return out
 }
 
-func (src *source) snapshot() Snapshot {
+func (src *source) snapshot(hasWindow func(k int64) bool) Snapshot {
 	b := Batch{names: slices.Clone(src.names)}
 	for k, w := range src.windows {
+		if !hasWindow(k) {
+			continue
+		}
 		bw := BatchWindow{window: k, final: w.final}
 		for i, c := range w.cells {
 			bw.pairs = append(bw.pairs, i, c.count)
--- a/core/process/gtusage/usage_test.go
+++ b/core/process/gtusage/usage_test.go
@@ -184,6 +184,53 @@
 	g.Expect(sums.Pending(10, alive)).To(gomega.BeEmpty(), "the process has ended")
 }
 
+// Guards against counts that wait longer than half a cycle for a message to any receiver, and
+// against a receiver that is sent them less than once in a cycle, or costs more messages.
+func TestTurnsAreSpreadOverReceivers(t *testing.T) {
+	for receivers := 1; receivers <= 4; receivers++ {
+		g := gomega.NewWithT(t)
+		sent, idle := map[int]int{}, 0
+		for turn := range 3 * TurnsPerCycle {
+			due := Turn(turn, receivers)
+			for _, i := range due {
+				sent[i]++
+			}
+			idle++
+			if len(due) > 0 {
+				idle = 0
+			}
+			g.Expect(idle).To(gomega.BeNumerically("<", TurnsPerCycle/2), "turns in a row without a message")
+		}
+		g.Expect(sent).To(gomega.HaveLen(receivers))
+		for _, n := range sent {
+			g.Expect(n).To(gomega.Equal(max(3, 6/receivers)))
+		}
+	}
+	gomega.NewWithT(t).Expect(Turn(0, 0)).To(gomega.BeEmpty())
+}
+
+// Guards against an answer about one window that lacks counts of a process that hasn't
+// declared it complete, or that repeats all that is known.
+func TestSnapshotsOfAWindowHoldUnfinishedCounts(t *testing.T) {
+	g := gomega.NewWithT(t)
+	sums := NewSums(1)
+	for _, name := range []string{"killed", "finished"} {
+		s := newSender(name, 5)
+		s.counter.Begin("x", 9)
+		s.counter.Begin("y", 10)
+		deliver(s, "c", sums, 10)
+		if name == "finished" {
+			deliver(s, "c", sums, 11)
+		}
+	}
+	other := NewSums(1)
+	for _, v := range sums.SnapshotsOf(10) {
+		other.Merge(v)
+	}
+	g.Expect(other.Counts(10)).To(gomega.Equal(map[string]int{"y": 1}))
+	g.Expect(other.Counts(9)).To(gomega.BeEmpty())
+}
+
 // Guards against messages that name accounts out of range.
 func TestInvalidBatchesAreRefused(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/io/connection/gtwire/usage.go
+++ b/io/connection/gtwire/usage.go
@@ -21,9 +21,11 @@
 	Base    int           `json:"b,omitempty"`
 	Names   []string      `json:"n,omitempty"`
 	Windows []UsageWindow `json:"w,omitempty"`
-	// All asks for all counts, Status for the state of the duty.
-	All    bool `json:"a,omitempty"`
-	Status bool `json:"s,omitempty"`
+	// All asks for all counts, and, if Of is set, only for those of window Of of the processes
+	// that haven't declared it complete. Status asks for the state of the duty.
+	All    bool  `json:"a,omitempty"`
+	Of     int64 `json:"k,omitempty"`
+	Status bool  `json:"s,omitempty"`
 }
 
 // UsageWindow holds the counts of a window, as pairs of an account's number and its
--- a/io/process/gtduties/candidate.go
+++ b/io/process/gtduties/candidate.go
@@ -32,7 +32,7 @@
 func (d *Duties) runCandidate(ctx context.Context) {
 	ticker := d.Timer.Every(gtduty.PollPeriod, 0)
 	defer ticker.Stop()
-	absences, isCandidate := 0, false
+	absences := 0
 	for {
 		select {
 		case <-ctx.Done():
@@ -41,14 +41,10 @@
 		}
 		rank := d.rank()
 		if rank < 0 || !d.MayTake() || !d.HasAccounts() {
-			absences, isCandidate = 0, false
+			absences = 0
 			d.setReadHolder("")
 			continue
 		}
-		if !isCandidate {
-			isCandidate = true
-			d.handOver(ctx)
-		}
 		holder, err := d.readOutdated(ctx)
 		switch {
 		case err != nil:
--- a/io/process/gtduties/duties.go
+++ b/io/process/gtduties/duties.go
@@ -41,10 +41,11 @@
 const UsageReport = "usage_report"
 
 const (
-	// sendPeriod is the period in which new counts are sent. Ticks come on a grid of
-	// 100 ms, so that it is 400 ms: a killed node loses no more than that, and each
-	// message costs some 100 bytes beside its counts.
-	sendPeriod = 350 * time.Millisecond
+	// turnPeriod is the time between two turns of sending. Each receiver is sent new counts
+	// every 400 ms, as each message costs some 170 bytes beside its counts, and one of them
+	// at least every 200 ms: a killed node loses 4 in 100 of a window of 5 s at most, also
+	// if it alone serves an account.
+	turnPeriod = 100 * time.Millisecond
 	// sendTimeout bounds a message to a candidate.
 	sendTimeout = time.Second
 	// holderRetention is how long a node goes on sending to a holder beyond the first
@@ -134,6 +135,9 @@
 	// readHolder is the holder that this node has read in the store, as a candidate.
 	readHolder string
 	inFlight   map[string]bool
+	// asked holds the receivers that this node has asked for all counts since it is sent
+	// those of all nodes.
+	asked map[string]bool
 	// receivingSince is the time since which this node, or others that have handed over
 	// their counts, have been sent those of all nodes; zero while it isn't sent them.
 	receivingSince time.Time
@@ -146,7 +150,7 @@
 func (d *Duties) Init() {
 	d.clock = gtusage.Clock{Wall: d.Wall, Uptime: d.Uptime}
 	d.outbox, d.sums = gtusage.NewOutbox(d.Start), gtusage.NewSums(d.Start)
-	d.inFlight = map[string]bool{}
+	d.inFlight, d.asked = map[string]bool{}, map[string]bool{}
 }
 
 // Run performs the duties until ctx ends.
@@ -187,11 +191,10 @@
 	return slices.IndexFunc(d.candidates(), func(r gtmember.Record) bool { return r.Instance() == d.Self })
 }
 
-// receivers returns the nodes that are sent counts: the first candidates, and the holder
-// if it is none of them.
+// receivers returns the nodes that are sent counts: the candidates, and the holder if it is
+// none of them.
 func (d *Duties) receivers() []gtmember.Record {
-	first := d.candidates()
-	list := slices.Clone(first[:min(gtduty.Receivers, len(first))])
+	list := slices.Clone(d.candidates())
 	d.mu.Lock()
 	holder := d.namedHolder
 	if d.Timer.Time().Sub(d.namedAt) > holderRetention {
@@ -214,16 +217,20 @@
 	return slices.ContainsFunc(list, func(r gtmember.Record) bool { return r.Instance() == instance })
 }
 
-// sendPeriodically sends new counts until ctx ends.
+// sendPeriodically sends new counts to the receivers in turn until ctx ends.
 func (d *Duties) sendPeriodically(ctx context.Context) {
-	ticker := d.Timer.Every(sendPeriod, 0)
+	ticker := d.Timer.Every(turnPeriod, 0)
 	defer ticker.Stop()
-	for {
+	for turn := 0; ; turn++ {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C():
-			d.send(ctx)
+			d.sendTurn(ctx, turn)
+			if turn%gtusage.TurnsPerCycle != 0 {
+				continue
+			}
+			d.learnFromOthers(ctx)
 			oldest := d.oldestKept()
 			d.counter.Prune(oldest)
 			d.sums.Prune(oldest)
@@ -238,7 +245,7 @@
 
 // Flush sends all new counts and waits until they have arrived or ctx ends.
 func (d *Duties) Flush(ctx context.Context) {
-	for _, done := range d.send(ctx) {
+	for _, done := range d.send(ctx, d.prepareToSend()) {
 		select {
 		case <-done:
 		case <-ctx.Done():
@@ -246,9 +253,8 @@
 	}
 }
 
-// send sends new counts to each receiver that no message is on the way to. It returns a
-// channel for each message that is closed when that has ended.
-func (d *Duties) send(ctx context.Context) []chan struct{} {
+// prepareToSend returns the receivers, after it has noted who they are.
+func (d *Duties) prepareToSend() []gtmember.Record {
 	receivers := d.receivers()
 	names := make([]string, len(receivers))
 	for i, r := range receivers {
@@ -256,6 +262,34 @@
 	}
 	d.outbox.Keep(names)
 	d.noteReceiving(slices.Contains(names, d.Self))
+	return receivers
+}
+
+// sendTurn sends new counts to the receivers whose turn it is. Counts for this node itself
+// cost no message: they are added at every second turn.
+func (d *Duties) sendTurn(ctx context.Context, turn int) {
+	receivers := d.prepareToSend()
+	var due, others []gtmember.Record
+	for _, r := range receivers {
+		switch {
+		case r.Instance() != d.Self:
+			others = append(others, r)
+		case turn%2 == 0:
+			due = append(due, r)
+		}
+	}
+	for _, i := range gtusage.Turn(turn, len(others)) {
+		due = append(due, others[i])
+	}
+	d.send(ctx, due)
+}
+
+// send sends new counts to each of the receivers that no message is on the way to. It
+// returns a channel for each message that is closed when that has ended.
+func (d *Duties) send(ctx context.Context, receivers []gtmember.Record) []chan struct{} {
+	if len(receivers) == 0 {
+		return nil
+	}
 	cells := d.counter.Cells()
 	if len(cells) == 0 {
 		return nil
@@ -353,7 +387,11 @@
 			response.Since = d.receivingSince.UnixMilli()
 		}
 		d.mu.Unlock()
-		response.Sources = gtwire.FromSnapshots(d.sums.Snapshots())
+		snapshots := d.sums.Snapshots
+		if m.Of != 0 {
+			snapshots = func() []gtusage.Snapshot { return d.sums.SnapshotsOf(m.Of) }
+		}
+		response.Sources = gtwire.FromSnapshots(snapshots())
 		return response, nil
 	}
 	if m.Status {
@@ -369,7 +407,7 @@
 		response.Epoch = epoch
 	}
 	first := d.candidates()
-	if holder := d.knownHolder(); holder != "" && !isAmong(first[:min(gtduty.Receivers, len(first))], holder) {
+	if holder := d.knownHolder(); holder != "" && !isAmong(first[:min(gtduty.FormerReceivers, len(first))], holder) {
 		response.Holder = holder
 	}
 	return response, nil
@@ -408,7 +446,7 @@
 	if own.Holder == d.Self {
 		return own
 	}
-	for _, to := range d.receiversAndCandidates() {
+	for _, to := range d.receivers() {
 		if to.Instance() == d.Self {
 			continue
 		}
@@ -426,37 +464,60 @@
 	return own
 }
 
-// receiversAndCandidates returns all nodes that may hold the duty or know the holder.
-func (d *Duties) receiversAndCandidates() []gtmember.Record {
-	list := d.receivers()
-	for _, r := range d.candidates() {
-		if !isAmong(list, r.Instance()) {
-			list = append(list, r)
+// handOver asks the other receivers for all counts that they know, and merges them. This
+// finds those of nodes that have ended before this node was sent counts. If of is not 0, it
+// asks only for those of that window which may have reached only one of them.
+func (d *Duties) handOver(ctx context.Context, of int64) {
+	var wg sync.WaitGroup
+	for _, to := range d.receivers() {
+		if to.Instance() != d.Self {
+			wg.Go(func() { d.learnFrom(ctx, to, of) })
 		}
 	}
-	return list
+	wg.Wait()
 }
 
-// handOver asks the other candidates for all counts that they know, and merges them. This
-// finds those of nodes that have ended before this node was sent counts.
-func (d *Duties) handOver(ctx context.Context) {
-	var wg sync.WaitGroup
-	for _, to := range d.receiversAndCandidates() {
-		if to.Instance() == d.Self {
+// learnFrom does the same with one receiver, and reports whether it has answered.
+func (d *Duties) learnFrom(ctx context.Context, to gtmember.Record, of int64) bool {
+	response, err := d.deliver(ctx, to, gtwire.Usage{All: true, Of: of})
+	if err != nil {
+		d.Log.Debug().Err(err).Str("candidate", to.Instance()).Msg("usage: asking a candidate for its counts failed")
+		return false
+	}
+	if err := d.mergeHandOver(response); err != nil {
+		d.Log.Warn().Err(err).Str("candidate", to.Instance()).Msg("usage: counts of a candidate can't be used")
+	}
+	return true
+}
+
+// learnFromOthers asks each of the other receivers once for all that it knows, from the
+// time on at which this node is sent counts. A receiver that starts anew thus holds the
+// counts of ended processes as soon as it knows its peers, so that the others may end.
+func (d *Duties) learnFromOthers(ctx context.Context) {
+	others := slices.DeleteFunc(d.receivers(), func(r gtmember.Record) bool { return r.Instance() == d.Self })
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name := range d.asked {
+		if d.receivingSince.IsZero() || !isAmong(others, name) {
+			delete(d.asked, name)
+		}
+	}
+	if d.receivingSince.IsZero() {
+		return
+	}
+	for _, to := range others {
+		if d.asked[to.Instance()] {
 			continue
 		}
-		wg.Go(func() {
-			response, err := d.deliver(ctx, to, gtwire.Usage{All: true})
-			if err != nil {
-				d.Log.Debug().Err(err).Str("candidate", to.Instance()).Msg("usage: asking a candidate for its counts failed")
-				return
-			}
-			if err := d.mergeHandOver(response); err != nil {
-				d.Log.Warn().Err(err).Str("candidate", to.Instance()).Msg("usage: counts of a candidate can't be used")
+		d.asked[to.Instance()] = true
+		d.wg.Go(func() {
+			if !d.learnFrom(ctx, to, 0) {
+				d.mu.Lock()
+				defer d.mu.Unlock()
+				delete(d.asked, to.Instance())
 			}
 		})
 	}
-	wg.Wait()
 }
 
 func (d *Duties) mergeHandOver(m gtwire.UsageResponse) error {
--- a/io/process/gtduties/duties_test.go
+++ b/io/process/gtduties/duties_test.go
@@ -223,6 +223,18 @@
 	return nil
 }
 
+// countsOf returns the counts with which a window was reported, or "".
+func (p *platform) countsOf(window int64) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, op := range p.history {
+		if in := op.Input.(callInput); in.window == window {
+			return in.counts
+		}
+	}
+	return ""
+}
+
 // Three nodes hold the duty in turn while calls of the store and counts are lost or late, and
 // holders are paused right between the check of the lease and the call, for
 // longer than the lease. Guards against two counts for a window, a token of two holders,
@@ -290,6 +302,88 @@
 	})
 }
 
+// A killed node has sent its last counts to one receiver, which isn't the holder: they are
+// reported. Guards against a holder that relies on what it was sent itself.
+func TestCountsThatOnlyAnotherReceiverGotAreReported(t *testing.T) {
+	runPair(t, func(g *gomega.WithT, nodes []*Duties, p *platform) {
+		time.Sleep(10 * time.Second)
+		holder, other := nodes[0], nodes[1]
+		if other.ownStatus().Token != 0 {
+			holder, other = other, holder
+		}
+		g.Expect(holder.ownStatus().Token).NotTo(gomega.BeZero())
+		k := holder.Timing.Windows().At(time.Now())
+		batch := func(seq uint64, n int) gtwire.Usage {
+			return gtwire.FromBatch(7, gtusage.NewBatch(seq, 0, []string{"x"}, []gtusage.BatchWindow{gtusage.NewBatchWindow(k, []int{0, n}, false)}))
+		}
+		_, err := holder.Serve("killed", batch(1, 3))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = other.Serve("killed", batch(2, 5))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		time.Sleep(10 * time.Second)
+		g.Expect(p.countsOf(k)).To(gomega.Equal(fmt.Sprint(map[string]int{"x": 5})))
+	})
+}
+
+// A receiver starts anew and the other ends a second later: the counts of ended nodes are
+// still known, and their window isn't given up. Guards against a receiver that asks for them
+// only when it may take the duty.
+func TestReceiverThatStartsLearnsAtOnce(t *testing.T) {
+	runPair(t, func(g *gomega.WithT, nodes []*Duties, _ *platform) {
+		k := nodes[0].Timing.Windows().At(time.Now())
+		_, err := nodes[0].Serve("killed", gtwire.FromBatch(7, gtusage.NewBatch(1, 0, []string{"x"}, []gtusage.BatchWindow{gtusage.NewBatchWindow(k, []int{0, 3}, false)})))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		restarted := newDuties(nodes[1].Self, 2, nodes[1].Store, nodes[1].Members())
+		restarted.MaySettle = func() bool { return false }
+		restarted.Send = nodes[1].Send
+		restarted.Init()
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		wg.Go(func() { restarted.Timer.Run(ctx) })
+		wg.Go(func() { restarted.Run(ctx) })
+		time.Sleep(900 * time.Millisecond)
+		cancel()
+		wg.Wait()
+		g.Expect(restarted.sums.Counts(k)).To(gomega.Equal(map[string]int{"x": 3}))
+	})
+}
+
+// runPair runs a test beside the duties of two nodes.
+func runPair(t *testing.T, test func(g *gomega.WithT, nodes []*Duties, p *platform)) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		store, p, nodes := newMemoryStore(1, 0).store(), &platform{}, []*Duties{}
+		members := []gtmember.Record{
+			gtmember.NewRecord("n0", "z", "10.0.0.1:1", "10.0.0.1:2").WithState(gtmember.Ready),
+			gtmember.NewRecord("n1", "z", "10.0.0.2:1", "10.0.0.2:2").WithState(gtmember.Ready),
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		for i, m := range members {
+			d := newDuties(m.Instance(), 1, store, members)
+			d.IsGone = func(instance string) bool { return instance == "killed" }
+			d.Send = func(_ context.Context, to gtmember.Record, u gtwire.Usage) (gtwire.UsageResponse, error) {
+				for _, n := range nodes {
+					if n.Self == to.Instance() {
+						return n.Serve(m.Instance(), u)
+					}
+				}
+				return gtwire.UsageResponse{}, fmt.Errorf("unknown instance %s", to.Instance())
+			}
+			d.Call = func(_ context.Context, r Report) error { return p.call(i, time.Now(), r) }
+			d.Init()
+			nodes = append(nodes, d)
+		}
+		for _, d := range nodes {
+			wg.Go(func() { d.Timer.Run(ctx) })
+			wg.Go(func() { d.Run(ctx) })
+		}
+		test(g, nodes, p)
+		cancel()
+		wg.Wait()
+	})
+}
+
 func runHistory(t *testing.T, seed uint64) {
 	g := gomega.NewWithT(t)
 	random := rand.New(rand.NewPCG(seed, 1))
--- a/io/process/gtduties/holder.go
+++ b/io/process/gtduties/holder.go
@@ -103,7 +103,7 @@
 
 // report stores and reports windows while the duty is held.
 func (d *Duties) report(ctx context.Context, h *holding) {
-	d.handOver(ctx)
+	d.handOver(ctx, 0)
 	ticker := d.Timer.Every(stepPeriod, 0)
 	defer ticker.Stop()
 	w := &worker{Duties: d, holding: h, ledger: &gtusage.Ledger{
@@ -254,6 +254,7 @@
 // closeWindow writes the counts of a window to the store, if no other holder has.
 // It returns false if the store has to be read again.
 func (w *worker) closeWindow(ctx context.Context, window int64) bool {
+	w.askBeforeClose(ctx, window)
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	counts := w.sums.Counts(window)
@@ -278,6 +279,19 @@
 	return true
 }
 
+// askBeforeClose asks the other receivers for later counts of processes that haven't
+// declared the window complete. Those of a killed process may have reached only one of
+// them. If the process still runs and this node doesn't hear from it, it asks for all.
+func (w *worker) askBeforeClose(ctx context.Context, window int64) {
+	ctx, cancel := context.WithTimeout(ctx, gtusage.AskTime)
+	defer cancel()
+	of := window
+	if len(w.ledger.Pending(window)) > 0 {
+		of = 0
+	}
+	w.handOver(ctx, of)
+}
+
 // call reports a stored window. It returns true if the report was acknowledged.
 func (w *worker) call(ctx context.Context, window int64) bool {
 	ctx, cancel := context.WithTimeout(ctx, w.Terms.CallTimeout())
