--- a/cmd/godwitstand/soak.go
+++ b/cmd/godwitstand/soak.go
@@ -24,6 +24,7 @@
 	Sites   int     `help:"Number of backend servers, each with its own node." default:"6"`
 	Stops   bool    `help:"Stop nodes in turn, overlapping, under requests that take long, in place of random faults."`
 	Pauses  bool    `help:"With stops, pause nodes for moments, as if they were short of processor time."`
+	Duties  bool    `help:"Report the use of accounts, and kill and pause the holder of that duty in place of random faults."`
 	Busy    int     `help:"Processes that only compute beside the nodes." default:"0"`
 	Plant   string  `help:"Run nodes with a fault: lie, twice, mix or leave, see plant --help." default:"" enum:",lie,twice,mix,leave"`
 	Keep    string  `help:"Folder for settings and logs of the nodes; those of runs without findings are removed." placeholder:"DIR"`
@@ -57,7 +58,7 @@
 		if err := os.MkdirAll(dir, 0o700); err != nil {
 			return errorx.Decorate(err, "create the folder of a run")
 		}
-		soak := &gtsoak.Soak{NodeCommand: nodeCommand, Dir: dir, Seed: c.Seed + i, FaultTime: time.Duration(c.Minutes * float64(time.Minute)), Sites: c.Sites, Stops: c.Stops, Pauses: c.Pauses, Busy: c.Busy}
+		soak := &gtsoak.Soak{NodeCommand: nodeCommand, Dir: dir, Seed: c.Seed + i, FaultTime: time.Duration(c.Minutes * float64(time.Minute)), Sites: c.Sites, Stops: c.Stops, Pauses: c.Pauses, Duties: c.Duties, Busy: c.Busy}
 		report, err := soak.Run(env.Context())
 		if err != nil {
 			return err
@@ -93,6 +94,9 @@
 
 func (c *soakCommand) print(env gtcommand.Env, r gtsoak.Report, dir string) {
 	env.Printf("seed %d: %d faults, configuration active %d ms after them, at most %d files open; %v\n", r.Seed, r.Faults, r.PropagationMS, r.Files, r.Calls)
+	if c.Duties {
+		env.Printf("  counts of %d windows compared\n", r.Windows)
+	}
 	for _, s := range r.TooSlow {
 		env.Printf("  slow: %s\n", s)
 	}
--- a/io/process/gtsoak/plan.go
+++ b/io/process/gtsoak/plan.go
@@ -28,6 +28,8 @@
 	at       time.Duration
 	duration time.Duration
 	site     int
+	// ofHolder means that it affects the holder of the duty in place of the site.
+	ofHolder bool
 }
 
 // faultKinds lists the kinds of faults; inject defines each of them. A kind is drawn
@@ -56,6 +58,9 @@
 
 // inject injects a fault and returns when it has ended.
 func (r *soakRun) inject(f fault) {
+	if f.ofHolder {
+		f.site = r.holderSite()
+	}
 	s := r.sites[f.site]
 	switch f.kind {
 	case "kill":
--- a/io/process/gtsoak/soak.go
+++ b/io/process/gtsoak/soak.go
@@ -76,6 +76,9 @@
 	// Pauses pauses nodes for moments in a run of planned stops, as if they were short of
 	// processor time.
 	Pauses bool
+	// Duties has the nodes report the use of accounts, and kills and pauses the holder of
+	// that duty in place of random faults, or beside planned stops.
+	Duties bool
 	// Busy is the number of processes that only compute while faults are injected.
 	Busy int
 	// MaxFiles is the largest number of open files of this process; 0 means its limit.
@@ -93,6 +96,8 @@
 	PropagationMS int64 `json:"force"`
 	// Files is the largest number of open files of this process.
 	Files int `json:"files"`
+	// Windows is the number of windows of usage whose counts were compared.
+	Windows int `json:"windows,omitempty"`
 	// Violations describes the violations of guarantees, and TooSlow the operations
 	// that exceeded their time limits.
 	Violations []string `json:"broken"`
@@ -114,6 +119,7 @@
 	cluster *gtcluster.Cluster
 	sites   []*site
 	calls   callers
+	duty    *dutyAddress // nil without duties
 
 	mu           sync.Mutex
 	ended        bool           // no more violations are reported
@@ -156,6 +162,14 @@
 	}
 	defer r.cluster.Close()
 	defer r.stopSites()
+	if s.Duties {
+		duty, err := startDutyAddress()
+		if err != nil {
+			return r.report, err
+		}
+		defer duty.server.Close()
+		r.duty = duty
+	}
 	if err := r.startSites(); err != nil {
 		return r.report, err
 	}
@@ -167,6 +181,10 @@
 	r.calls.routes, r.calls.resends, r.calls.onError = p.routes, p.resends, r.files.recordError
 	stopCallers := r.calls.start(ctx, r.edgeURLs(), s.Seed, p.callInterval)
 	stopWatching := r.watchVersions()
+	stopAccounts, accountsStarted := func() {}, time.Now()
+	if s.Duties {
+		stopAccounts = r.startAccounts()
+	}
 	if err := r.injectFaults(); err != nil {
 		return r.report, err
 	}
@@ -176,6 +194,12 @@
 	r.sleep(faultFreeTime)
 	stopCallers()
 	stopWatching()
+	stopAccounts()
+	if s.Duties {
+		accountsStopped := time.Now()
+		r.sleep(usageLate)
+		r.checkUsage(accountsStarted, accountsStopped)
+	}
 	if err := ctx.Err(); err != nil {
 		return r.report, err
 	}
@@ -186,6 +210,9 @@
 // startSites starts the backend servers and the nodes.
 func (r *soakRun) startSites() error {
 	peers, p := []string{}, r.soak.profile()
+	if r.duty != nil {
+		p.limitSettings += r.duty.dutySettings()
+	}
 	for i := range r.soak.Sites {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -249,8 +276,14 @@
 			stops = append(stops, planPauses(s.Seed, s.FaultTime, s.Sites)...)
 			slices.SortFunc(stops, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
 		}
+		if s.Duties {
+			return s.withHolderFaults(stops)
+		}
 		return stops
 	}
+	if s.Duties {
+		return planHolderFaults(s.Seed, s.FaultTime)
+	}
 	return planFaults(s.Seed, s.FaultTime, s.Sites)
 }
 
@@ -329,12 +362,18 @@
 
 // configFiles returns the files of the configuration folder by name.
 func (r *soakRun) configFiles() map[string]string {
-	routes := r.soak.profile().routes
+	routes, open := r.soak.profile().routes, ""
+	if r.soak.Duties {
+		open = "open = true\n"
+	}
 	text := fmt.Sprintf("[service.lending]\nversion = \"1\"\ntimeout = %q\n", routes[0].timeout)
 	for _, route := range routes {
-		text += fmt.Sprintf("[route.%s]\nservice = \"lending\"\npath = %q\ntimeout = %q\n", strings.Trim(route.path, "/"), route.path, route.timeout)
+		text += fmt.Sprintf("[route.%s]\nservice = \"lending\"\npath = %q\ntimeout = %q\n%s", strings.Trim(route.path, "/"), route.path, route.timeout, open)
+	}
+	text += fmt.Sprintf("[route.n%d]\nservice = \"lending\"\npath = \"/n%d\"\n%s", r.routeNumber, r.routeNumber, open)
+	if r.soak.Duties {
+		text += usageConfig()
 	}
-	text += fmt.Sprintf("[route.n%d]\nservice = \"lending\"\npath = \"/n%d\"\n", r.routeNumber, r.routeNumber)
 	for _, zone := range []string{"z1", "z2", "z3"} {
 		if r.zoneDrains[zone] > 0 {
 			text += fmt.Sprintf("[zone.%s]\nout = true\n", zone)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -94,6 +94,16 @@
 	gomega.NewWithT(t).Expect(report.Violations).To(gomega.BeEmpty())
 }
 
+// TestHolderOfADutyIsKilledAndPaused kills and pauses the holder of the duty to report usage:
+// no window is reported with two counts, and those without a kill have the right ones.
+func TestHolderOfADutyIsKilledAndPaused(t *testing.T) {
+	t.Parallel()
+	g := gomega.NewWithT(t)
+	report := runPlanned(t, &gtsoak.Soak{Seed: 1, FaultTime: 5 * faultTime, Sites: sites, Duties: true}, "godwittide", "node")
+	g.Expect(report.Violations).To(gomega.BeEmpty())
+	g.Expect(report.Windows).To(gomega.BeNumerically(">", 0))
+}
+
 // A run that met the limit of open files of its own process reported hundreds of violations
 // that were its own: callers and stand-ins could open no connection.
 func TestRunAtItsFileLimitFailsAndReportsNoViolations(t *testing.T) {
