--- a/cmd/godwitstand/soak.go
+++ b/cmd/godwitstand/soak.go
@@ -22,9 +22,9 @@
 	Seeds   int     `help:"Number of runs, each with the next seed." default:"1"`
 	Minutes float64 `help:"Minutes during which faults are injected, in each run." default:"1"`
 	Sites   int     `help:"Number of backend servers, each with its own node." default:"6"`
-	Stops   bool    `help:"Stop nodes in turn, overlapping, under requests that take long, in place of random faults."`
+	Stops   bool    `help:"Stop nodes in turn, overlapping, under requests that take long, in place of random faults." xor:"faults"`
 	Pauses  bool    `help:"With stops, pause nodes for moments, as if they were short of processor time."`
-	Duties  bool    `help:"Report the use of accounts, and kill and pause the holder of that duty in place of random faults."`
+	Duties  bool    `help:"Report the use of accounts, and kill and pause the holder of that duty in place of random faults." xor:"faults"`
 	Busy    int     `help:"Processes that only compute beside the nodes." default:"0"`
 	Plant   string  `help:"Run nodes with a fault: lie, twice, mix or leave, see plant --help." default:"" enum:",lie,twice,mix,leave"`
 	Keep    string  `help:"Folder for settings and logs of the nodes; those of runs without findings are removed." placeholder:"DIR"`
--- a/io/process/gtsoak/duties.go
+++ b/io/process/gtsoak/duties.go
@@ -1,7 +1,6 @@
 package gtsoak
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -133,13 +132,6 @@
 	return faults
 }
 
-// withHolderFaults adds those to other faults, in order.
-func (s *Soak) withHolderFaults(faults []fault) []fault {
-	faults = append(faults, planHolderFaults(s.Seed, s.FaultTime)...)
-	slices.SortStableFunc(faults, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
-	return faults
-}
-
 // holderSite returns the index of the site whose node called the duty address last, or that
 // of the first.
 func (r *soakRun) holderSite() int {
@@ -210,7 +202,7 @@
 
 // wasKilled reports whether a node was killed in a period, or was down after it.
 func (r *soakRun) wasKilled(from, to time.Time) bool {
-	return slices.ContainsFunc(r.sites, func(s *site) bool { return !s.undisturbedExcept(from, to, "freeze", "pause", "term") })
+	return slices.ContainsFunc(r.sites, func(s *site) bool { return !s.undisturbedExcept(from, to, "freeze") })
 }
 
 // usage returns the number of requests that ran, by window and account.
--- a/io/process/gtsoak/soak.go
+++ b/io/process/gtsoak/soak.go
@@ -77,7 +77,8 @@
 	// processor time.
 	Pauses bool
 	// Duties has the nodes report the use of accounts, and kills and pauses the holder of
-	// that duty in place of random faults, or beside planned stops.
+	// that duty in place of random faults. It isn't set with Stops, as a kill breaks off
+	// requests.
 	Duties bool
 	// Busy is the number of processes that only compute while faults are injected.
 	Busy int
@@ -276,9 +277,6 @@
 			stops = append(stops, planPauses(s.Seed, s.FaultTime, s.Sites)...)
 			slices.SortFunc(stops, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
 		}
-		if s.Duties {
-			return s.withHolderFaults(stops)
-		}
 		return stops
 	}
 	if s.Duties {
