Smaller entries while a configuration is merged

Cause: at the peak of memory a node merges: 20,000 entries of 160 bytes and a map with 16 places for each of 2,000 routes, beside the old configuration.

Change: values are ordered for size (88 to 64 bytes), room is made for the entries that a route usually has, and a section's map has 8 places.

--- a/core/version/gtconfig/merge.go
+++ b/core/version/gtconfig/merge.go
@@ -42,6 +42,10 @@
 	MaxFileBytes = 256 << 10
 )
 
+// usualKeys is the number of keys that a section usually has at most. A map for more takes
+// twice the memory.
+const usualKeys = 8
+
 // sectionKeys holds the permitted keys of each section, with their types.
 var sectionKeys = map[string]map[string]ValueType{
 	"service": {
@@ -130,7 +134,7 @@
 	}
 	es := m.sections[section][name]
 	if es == nil {
-		es = make(entrySet, len(sectionKeys[section]))
+		es = make(entrySet, min(len(sectionKeys[section]), usualKeys))
 		m.sections[section][name] = es
 	}
 	m.lastSection, m.lastName, m.last = section, name, es
@@ -361,7 +365,7 @@
 	}
 	mv.within = m.duration(es, "within", 0)
 	if e, ok := es["by"]; ok {
-		mv.deadline = e.value.timestamp
+		mv.deadline = *e.value.timestamp
 	} else if mv.within == 0 {
 		m.reject(es.entryOrPlaceholder("move", name, "by"), "a move needs by, as in 2026-12-24T18:00:00Z, or within, as in \"20m\"")
 	}
--- a/core/version/gtconfig/value.go
+++ b/core/version/gtconfig/value.go
@@ -22,7 +22,7 @@
 )
 
 // ValueType is the type of a Value.
-type ValueType int
+type ValueType uint8
 
 // The types of values. TypeOther stands for any type that no key accepts.
 const (
@@ -39,14 +39,15 @@
 // String returns the type's name as used in messages to operators.
 func (t ValueType) String() string { return typeNames[t] }
 
-// Value is the typed value of an entry. Only the field of its type is set.
+// Value is the typed value of an entry. Only the field of its type is set. The fields are
+// ordered for size, as 2,000 routes have some 16,000 values while they are merged.
 type Value struct {
-	typ       ValueType
 	text      string
-	boolean   bool
-	number    float64
-	timestamp time.Time
 	list      []string
+	number    float64
+	timestamp *time.Time
+	typ       ValueType
+	boolean   bool
 }
 
 // StringValue returns a value of type string.
@@ -59,7 +60,10 @@
 func NumberValue(f float64) Value { return Value{typ: TypeNumber, number: f} }
 
 // TimeValue returns a value of type time.
-func TimeValue(t time.Time) Value { return Value{typ: TypeTime, timestamp: t.UTC()} }
+func TimeValue(t time.Time) Value {
+	t = t.UTC()
+	return Value{typ: TypeTime, timestamp: &t}
+}
 
 // ListValue returns a value of type list of strings.
 func ListValue(l []string) Value { return Value{typ: TypeList, list: l} }
