--- a/core/process/gtheap/heap.go
+++ b/core/process/gtheap/heap.go
@@ -15,7 +15,7 @@
 	minHeadroom = 8 << 20
 	// headroomPercent is how much garbage a large heap may hold, as a percentage of what
 	// is in use.
-	headroomPercent = 100
+	headroomPercent = 50
 	// stepBytes is the step in which limits differ, as each change stops all threads for a
 	// moment.
 	stepBytes = 1 << 20
--- a/io/process/gtnode/recall.go
+++ b/io/process/gtnode/recall.go
@@ -19,9 +19,14 @@
 	recallSyncCheck = 50 * time.Millisecond
 	// recallAskTimeout bounds the time until a watcher's response.
 	recallAskTimeout = 600 * time.Millisecond
+	// recallGather is how long a read waits for others that ask at the same time, as the
+	// heartbeats of backend servers may be in step. Without it all but the first wait for the
+	// second read.
+	recallGather = 20 * time.Millisecond
 	// minRecallPeriod is the least time between two reads for others, so that the reads
-	// while a zone starts are bounded whatever its size.
-	minRecallPeriod = 200 * time.Millisecond
+	// while a zone starts are bounded whatever its size: 150 a second in 15 zones, of 200
+	// that the store allows. With 200 ms backend servers were in use 0.18 s later.
+	minRecallPeriod = 100 * time.Millisecond
 )
 
 // recallReads reads the departures of backend servers for other instances. All that ask
@@ -30,7 +35,7 @@
 type recallReads struct {
 	readOne func(ctx context.Context, instance string) ([]string, error)
 	readAll func(ctx context.Context) (map[string][]string, error)
-	// sleep waits until the next read may begin.
+	// sleep waits for a time.
 	sleep func(ctx context.Context, d time.Duration) error
 
 	mu      sync.Mutex
@@ -71,6 +76,7 @@
 // run performs the reads that are asked for, until there are none.
 func (r *recallReads) run(ctx context.Context) {
 	for {
+		_ = r.sleep(ctx, recallGather)
 		r.mu.Lock()
 		current := r.next
 		r.next = nil
@@ -81,7 +87,7 @@
 		}
 		current.texts, current.err = r.perform(ctx, current.instances)
 		close(current.done)
-		_ = r.sleep(ctx, minRecallPeriod)
+		_ = r.sleep(ctx, minRecallPeriod-recallGather)
 	}
 }
 
