--- a/core/version/gtconfig/merge.go
+++ b/core/version/gtconfig/merge.go
@@ -42,6 +42,10 @@
 	MaxFileBytes = 256 << 10
 )
 
+// usualKeys is the number of keys that a section usually has at most. A map for more takes
+// twice the memory.
+const usualKeys = 8
+
 // sectionKeys holds the permitted keys of each section, with their types.
 var sectionKeys = map[string]map[string]ValueType{
 	"service": {
@@ -130,7 +134,7 @@
 	}
 	es := m.sections[section][name]
 	if es == nil {
-		es = make(entrySet, len(sectionKeys[section]))
+		es = make(entrySet, min(len(sectionKeys[section]), usualKeys))
 		m.sections[section][name] = es
 	}
 	m.lastSection, m.lastName, m.last = section, name, es
@@ -144,10 +148,11 @@
 // build checks the collected entries against each other and returns the
 // configuration, which is valid only if no problem was reported.
 func (m *merger) build() *Config {
-	cfg := &Config{services: map[string]Service{}, routeNames: map[string]bool{}, routesByPath: map[string][]Route{}, moveIndex: map[string]int{}, drainedZones: map[string]bool{}}
+	cfg := &Config{services: map[string]Service{}, routeNames: make(map[string]bool, len(m.sections["route"])), moveIndex: map[string]int{}, drainedZones: map[string]bool{}}
 	for _, name := range m.sortedNames("service") {
 		cfg.services[name] = m.service(name, m.sections["service"][name])
 	}
+	cfg.routes = make([]Route, 0, len(m.sections["route"]))
 	for _, name := range m.sortedNames("route") {
 		cfg.routes = append(cfg.routes, m.route(cfg, name, m.sections["route"][name]))
 	}
@@ -165,8 +170,8 @@
 	sortRoutes(cfg.routes)
 	for _, r := range cfg.routes {
 		cfg.routeNames[r.name] = true
-		cfg.routesByPath[r.path] = append(cfg.routesByPath[r.path], r)
 	}
+	cfg.routesByPath = indexByPath(cfg.routes)
 	cfg.checksum = m.checksum()
 	return cfg
 }
@@ -360,7 +365,7 @@
 	}
 	mv.within = m.duration(es, "within", 0)
 	if e, ok := es["by"]; ok {
-		mv.deadline = e.value.timestamp
+		mv.deadline = *e.value.timestamp
 	} else if mv.within == 0 {
 		m.reject(es.entryOrPlaceholder("move", name, "by"), "a move needs by, as in 2026-12-24T18:00:00Z, or within, as in \"20m\"")
 	}
