--- a/test/untrusted/node_test.go
+++ b/test/untrusted/node_test.go
@@ -152,7 +152,24 @@
 	const anyPort = "127.0.0.1:0"
 	store := start(t, dir, "godwitstand", "store", "--listen", anyPort).waitFor(t, `store listens on ([^; ]+);`)[0]
 	backend := start(t, dir, "godwitstand", "backend", "--listen", anyPort, "--name", "a1").waitFor(t, `listens on ([^; ]+);`)[0]
-	memory := fmt.Sprintf("memory = %d\n", budget)
+	n := startInstance(t, dir, instance{name: "a1", service: "lending", backend: backend, store: store, maxBody: maxBody, budget: budget})
+	n.awaitConfig(t, dir, store, folder)
+	return n
+}
+
+// instance is what the settings of a node under test say.
+type instance struct {
+	name, service, backend, store string
+	maxBody, budget               int
+	peers                         []string
+	slots                         int // 0 means the default, adaptive limit
+}
+
+// startInstance starts a node.
+func startInstance(t *testing.T, dir string, i instance) node {
+	t.Helper()
+	const anyPort = "127.0.0.1:0"
+	memory := fmt.Sprintf("memory = %d\n", i.budget)
 	sample, err := exec.Command(filepath.Join(dir, "godwittide"), "node", "--sample").Output()
 	if err != nil {
 		t.Fatal(err)
@@ -160,10 +177,18 @@
 	if !bytes.Contains(sample, []byte("memory =")) {
 		memory = "" // a program from before the setting, which is held to the same bound
 	}
+	peers, slots := "", ""
+	if len(i.peers) > 0 {
+		peers = fmt.Sprintf("peers = [%q]", i.peers[0])
+	}
+	if i.slots > 0 {
+		slots = fmt.Sprintf("slots = %d\nfixed = true", i.slots)
+	}
 	text := fmt.Sprintf(`
 [node]
-instance = "a1"
+instance = %[6]q
 zone = "z1"
+%[8]s
 [listen]
 edge = %[1]q
 hop = %[1]q
@@ -171,20 +196,27 @@
 admin = %[1]q
 [backend]
 address = %[2]q
-service = "lending"
+service = %[7]q
 version = "1"
+%[9]s
 [store]
 endpoint = "http://%[3]s"
 [limit]
 body = %[4]d
-%[5]s`, anyPort, backend, store, maxBody, memory)
-	file := filepath.Join(t.TempDir(), "a1.toml")
+%[5]s`, anyPort, i.backend, i.store, i.maxBody, memory, i.name, i.service, peers, slots)
+	file := filepath.Join(t.TempDir(), i.name+".toml")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	n := node{process: start(t, dir, "godwittide", "node", "--settings", file)}
 	found := n.waitFor(t, `"edge":"([^"]+)","hop":"([^"]+)","peer":"([^"]+)","admin":"([^"]+)".*node: started`)
 	n.edge, n.hop, n.peer, n.admin = found[0], found[1], found[2], found[3]
+	return n
+}
+
+// awaitConfig pushes the operators' folder and waits until the node works by it.
+func (n node) awaitConfig(t *testing.T, dir, store, folder string) {
+	t.Helper()
 	operator := t.TempDir()
 	if err := os.WriteFile(filepath.Join(operator, "10-base.toml"), []byte(folder), 0o600); err != nil {
 		t.Fatal(err)
@@ -201,7 +233,6 @@
 		var s gtnode.Status
 		return json.NewDecoder(resp.Body).Decode(&s) == nil && s.Version == 1
 	})
-	return n
 }
 
 // check checks that the node lives within its bounds and answers an ordinary GET.
