--- a/core/process/gtbudget/budget.go
+++ b/core/process/gtbudget/budget.go
@@ -84,6 +84,7 @@
 	moved      int64
 	markMoved  int64 // moved at the time of mark
 	mark       time.Time
+	completeAt time.Time
 	isResponse bool
 	isComplete bool
 	isDropped  bool
@@ -275,12 +276,28 @@
 	if h == nil {
 		return
 	}
+	now := h.budget.Now()
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
-	h.isComplete = true
+	h.isComplete, h.completeAt = true, now
 	h.budget.stopWaitingLocked(h)
 }
 
+// Resume tells that the other end has to send, or take, more after Complete. The time
+// since then doesn't count as stalled.
+func (h *Holder) Resume() {
+	if h == nil {
+		return
+	}
+	now := h.budget.Now()
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	if h.isComplete {
+		h.isComplete = false
+		h.mark = h.mark.Add(max(0, now.Sub(h.completeAt)))
+	}
+}
+
 // IsDropped reports whether the holder has been dropped.
 func (h *Holder) IsDropped() bool {
 	if h == nil {
--- a/core/request/gtcall/call.go
+++ b/core/request/gtcall/call.go
@@ -20,6 +20,7 @@
 
 	"godwittide/core/request/gtdedup"
 	"godwittide/core/request/gtroute"
+	"godwittide/core/request/gtstream"
 	"godwittide/core/version/gtconfig"
 )
 
@@ -30,6 +31,7 @@
 	target        string
 	header        http.Header
 	body          [][]byte // segments
+	stream        *gtstream.Body
 	service       string
 	route         string
 	version       string
@@ -91,6 +93,12 @@
 // BodySegments returns the body in the segments in which it is kept.
 func (c Call) BodySegments() [][]byte { return c.body }
 
+// Stream returns the body if it is forwarded in windows, or nil if it is whole.
+func (c Call) Stream() *gtstream.Body { return c.stream }
+
+// CanBeSentAgain reports whether the whole body is at hand for another attempt.
+func (c Call) CanBeSentAgain() bool { return c.stream == nil || c.stream.CanBeSentAgain() }
+
 // Service returns the name of the service.
 func (c Call) Service() string { return c.service }
 
@@ -147,8 +155,12 @@
 // Deadline returns the time at which the caller stops waiting.
 func (c Call) Deadline() time.Time { return c.deadline }
 
-// Fingerprint returns a hash of the service, method, target and body.
+// Fingerprint returns a hash of the service, method, target and body, or of what stands for a
+// body that is forwarded in windows (gtdedup.StreamFingerprint).
 func (c Call) Fingerprint() uint64 {
+	if c.stream != nil {
+		return gtdedup.StreamFingerprint(c.service, c.method, c.target, c.id, c.stream.Length())
+	}
 	return gtdedup.Fingerprint(c.service, c.method, c.target, c.body...)
 }
 
@@ -174,6 +186,12 @@
 	return c
 }
 
+// WithStream returns a copy whose body is forwarded in windows, unless the body is nil.
+func (c Call) WithStream(b *gtstream.Body) Call {
+	c.stream = b
+	return c
+}
+
 // WithRoute returns a copy with the service, the name of the route and its class.
 func (c Call) WithRoute(service, route string, class gtconfig.Class) Call {
 	c.service, c.route, c.class = service, route, class
--- a/core/request/gtdedup/crashes.go
+++ b/core/request/gtdedup/crashes.go
@@ -23,6 +23,14 @@
 	return gtshard.HashWith(body, service, method, target)
 }
 
+// StreamFingerprint returns the fingerprint of a request whose body is forwarded without being
+// kept: a hash of its ID, its head and the length of its body. Consequently a caller that sends
+// such a request again under another ID is not recognized as the one whose request crashed a
+// backend server, and its request is not blocked.
+func StreamFingerprint(service, method, target, id string, length int64) uint64 {
+	return gtshard.Hash(service, method, target, "stream", id, strconv.FormatInt(length, 10))
+}
+
 // Crash records the backend server crashes during which one request was in
 // flight.
 type Crash struct {
--- a/io/connection/gtsocket/socket.go
+++ b/io/connection/gtsocket/socket.go
@@ -123,6 +123,14 @@
 	}
 }
 
+// SetReadDeadline sets until when the connection of the request that a context belongs to is
+// read.
+func SetReadDeadline(ctx context.Context, t time.Time) {
+	if c := Conn(ctx); c != nil {
+		_ = c.SetReadDeadline(t)
+	}
+}
+
 // InterruptWrite ends the writes of the connection of the request that a context belongs to.
 func InterruptWrite(ctx context.Context) {
 	if c := Conn(ctx); c != nil {
--- a/io/request/gtedge/edge.go
+++ b/io/request/gtedge/edge.go
@@ -30,6 +30,7 @@
 	"godwittide/core/request/gtretry"
 	"godwittide/core/request/gtroute"
 	"godwittide/core/request/gtsplit"
+	"godwittide/core/request/gtstream"
 	"godwittide/core/version/gtaccount"
 	"godwittide/core/version/gtcanary"
 	"godwittide/core/version/gtconfig"
@@ -60,6 +61,9 @@
 	IDPrefix string
 	// MaxBodyBytes returns the largest request body in bytes.
 	MaxBodyBytes func() int
+	// WholeBytes returns the size up to which every body is read whole; nil means
+	// gtstream.DefaultWholeBytes.
+	WholeBytes func() int
 	// Budget is the budget of bytes that bodies and responses count in; nil means none.
 	Budget *gtbudget.Budget
 	// MaxHops is the largest number of hops in a call chain.
@@ -172,6 +176,9 @@
 		return c, gtcall.Response{}, gtkind.New(gtkind.Leaving, "this node shuts down before the deadline of the request")
 	}
 	resp, err := e.dispatch(ctx, cfg, c)
+	if err != nil && c.Stream() != nil {
+		err = c.Stream().Outcome(err)
+	}
 	return c, resp, err
 }
 
@@ -231,7 +238,8 @@
 	bodyTimeout := cmp.Or(route.Timeout(), gtconfig.MaxTimeout)
 	bodyDeadline := start.Add(e.Dialect.ShortenTimeout(r, bodyTimeout))
 	entry.Identify(id, route.Name(), bodyDeadline)
-	body, err := hold.ReadBody(r, entry, e.MaxBodyBytes(), bodyDeadline)
+	reading := gtstream.Choose(route.Idempotent(r.Method), key != "", r.ContentLength, int64(e.wholeBytes()))
+	body, stream, err := hold.OpenBody(r, entry, reading, e.MaxBodyBytes(), e.wholeBytes(), bodyDeadline)
 	if err != nil {
 		return gtcall.New(id, r.Method, r.URL.RequestURI()).WithRoute("", route.Name(), class).WithAccount(account.Name()), err
 	}
@@ -244,6 +252,7 @@
 	return gtcall.New(id, r.Method, r.URL.RequestURI()).
 		WithHeader(header).
 		WithBodySegments(body).
+		WithStream(stream).
 		WithRoute(service, route.Name(), class).
 		WithAccount(account.Name()).
 		WithIdempotent(route.Idempotent(r.Method)).
@@ -305,6 +314,14 @@
 	e.Retry.Prune(hasRoute)
 }
 
+// wholeBytes returns the size up to which every body is read whole.
+func (e *Edge) wholeBytes() int {
+	if e.WholeBytes == nil {
+		return gtstream.DefaultWholeBytes
+	}
+	return e.WholeBytes()
+}
+
 // newID returns an ID for a request that has none.
 func (e *Edge) newID() string { return e.IDPrefix + strconv.FormatUint(e.seq.Add(1), 36) }
 
@@ -351,7 +368,7 @@
 			reached++
 		}
 		if !e.Router.CanPick(cfg, others) || !e.shouldRetry(ctx, c, k, count, reached) {
-			if k != gtkind.Leaving || c.IsLastAttempt() || ctx.Err() != nil {
+			if k != gtkind.Leaving || c.IsLastAttempt() || ctx.Err() != nil || !c.CanBeSentAgain() {
 				return resp, err
 			}
 			tried, c = tried[:len(tried)-1], c.WithLastAttempt(true)
@@ -369,7 +386,7 @@
 }
 
 func (e *Edge) shouldRetry(ctx context.Context, c gtcall.Call, k gtkind.Kind, count, reached int) bool {
-	if ctx.Err() != nil || e.Crashes.IsBlocked(c.Fingerprint()) {
+	if ctx.Err() != nil || !c.CanBeSentAgain() || e.Crashes.IsBlocked(c.Fingerprint()) {
 		return false
 	}
 	return e.Retry.ShouldRetry(e.failedAttempt(c, k, count, reached))
--- a/io/request/gthop/client.go
+++ b/io/request/gthop/client.go
@@ -52,7 +52,7 @@
 		end(err)
 		cancel()
 	}
-	httpResp, err := cl.Pool.Do(ctx, to.HopAddress(), c.Class().PoolName(), req, c.Idempotent())
+	httpResp, err := do(ctx, cl.Pool, to.HopAddress(), req, c)
 	if err != nil {
 		finish(err)
 		return gtcall.Response{}, err
--- a/io/request/gthop/handler.go
+++ b/io/request/gthop/handler.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -113,9 +114,13 @@
 		return gtcall.Response{}, gtkind.New(gtkind.Refused, "this is instance %s, the request is addressed to %.64q", self, instance)
 	}
 	entry := gtinflight.FromContext(ctx)
-	body, err := hold.ReadBody(r, entry, h.MaxBodyBytes(), time.Time{})
-	if err != nil {
-		return gtcall.Response{}, err
+	inWindows := strings.Contains(meta[metaFlags], flagWindows)
+	var body [][]byte
+	var err error
+	if !inWindows {
+		if body, err = hold.ReadBody(r, entry, h.MaxBodyBytes(), time.Time{}); err != nil {
+			return gtcall.Response{}, err
+		}
 	}
 	now := h.Timer.Time()
 	c, err := decodeCall(r, meta, body, now)
@@ -131,8 +136,16 @@
 		h.LocalBackend.Crashes.Merge(gtdedup.NewCrash(c.Fingerprint(), c.Crashes(), !c.Idempotent(), now.Add(gtdedup.CrashWindow)))
 	}
 	c.Header().Set("Host", r.Host)
-	stop := h.startKeepAlive(c.ID(), w)
+	ka, stop := h.startKeepAlive(c.ID(), w)
 	defer stop()
+	if inWindows {
+		stream, err := hold.OpenPeerBody(r, h.MaxBodyBytes(), c.Deadline())
+		if err != nil {
+			return gtcall.Response{}, err
+		}
+		stream.Begin = ka.askForWindows
+		c = c.WithStream(stream)
+	}
 	return h.LocalBackend.Run(ctx, c)
 }
 
@@ -174,10 +187,10 @@
 
 // startKeepAlive registers a call for keep-alives. The function that it returns
 // stops them, and must be called before the response is written.
-func (h *Handler) startKeepAlive(id string, w http.ResponseWriter) func() {
+func (h *Handler) startKeepAlive(id string, w http.ResponseWriter) (*keepAlive, func()) {
 	ka := &keepAlive{w: w, start: h.Timer.Time()}
 	h.keepAlives.Do(id, func(m map[string]*keepAlive) { m[id] = ka })
-	return func() {
+	return ka, func() {
 		h.keepAlives.Do(id, func(m map[string]*keepAlive) {
 			if m[id] == ka {
 				delete(m, id)
--- a/io/request/gthop/hold.go
+++ b/io/request/gthop/hold.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"os"
 	"sync"
@@ -12,6 +13,7 @@
 	"godwittide/core/process/gtbudget"
 	"godwittide/core/request/gtinflight"
 	"godwittide/core/request/gtkind"
+	"godwittide/core/request/gtstream"
 	"godwittide/io/connection/gtsocket"
 )
 
@@ -35,6 +37,7 @@
 	budget *gtbudget.Budget
 	ctx    context.Context // of the request, for its connection
 	body   *gtbudget.Holder
+	stream *gtstream.Body // of a body that is forwarded in windows, or nil
 	waited bool // for room, while the body was read
 }
 
@@ -45,9 +48,10 @@
 func (h *Hold) Leave() { h.body.Leave() }
 
 // EndBody gives back what the body held, before the response is written. The connection of a
-// body that was dropped is closed after the response, as its reads have been interrupted.
+// body that was dropped is closed after the response, as its reads have been interrupted. So
+// is that of a body that was not read to its end: the rest is not read.
 func (h *Hold) EndBody(w http.ResponseWriter) {
-	if h.body.IsDropped() {
+	if h.body.IsDropped() || h.stream != nil && !h.stream.IsComplete() {
 		w.Header().Set("Connection", "close")
 	}
 	h.Leave()
@@ -58,11 +62,18 @@
 // with Leaving if a shutdown interrupts it, with Full if there is no room for it in the budget,
 // and with BadRequest if it can't be read. A zero deadline means none.
 func (h *Hold) ReadBody(r *http.Request, entry *gtinflight.Entry, limit int, deadline time.Time) ([][]byte, error) {
+	b, _, err := h.readUpTo(r, entry, limit, math.MaxInt, deadline)
+	return b, err
+}
+
+// readUpTo reads a body like ReadBody, but only until it has upTo bytes. It reports whether
+// the body has ended.
+func (h *Hold) readUpTo(r *http.Request, entry *gtinflight.Entry, limit, upTo int, deadline time.Time) ([][]byte, bool, error) {
 	if r.ContentLength > int64(limit) {
-		return nil, gtkind.New(gtkind.TooLarge, "request body has %d bytes, the limit is %d", r.ContentLength, limit)
+		return nil, false, gtkind.New(gtkind.TooLarge, "request body has %d bytes, the limit is %d", r.ContentLength, limit)
 	}
 	if r.ContentLength == 0 {
-		return nil, nil
+		return nil, true, nil
 	}
 	h.body = h.budget.Join(func() { gtsocket.InterruptRead(r.Context()) })
 	stopped := make(chan struct{})
@@ -74,38 +85,38 @@
 	if !deadline.IsZero() {
 		defer time.AfterFunc(time.Until(deadline), entry.Interrupt).Stop()
 	}
-	b, size, err := h.readSegments(r, limit, stopped)
+	b, size, ended, err := h.readSegments(r, limit, upTo, stopped)
 	h.body.Complete()
 	interrupted := !entry.EndReading()
 	switch {
 	case interrupted && !deadline.IsZero() && !time.Now().Before(deadline):
-		return nil, gtkind.New(gtkind.Expired, "deadline passed before the request body has arrived")
+		return nil, false, gtkind.New(gtkind.Expired, "deadline passed before the request body has arrived")
 	case interrupted:
-		return nil, gtkind.New(gtkind.Leaving, "this node shuts down before the request body has arrived")
+		return nil, false, gtkind.New(gtkind.Leaving, "this node shuts down before the request body has arrived")
 	case h.body.IsDropped(), err == errNoRoom, h.waited && errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, errNoRoom
+		return nil, false, errNoRoom
 	case err != nil:
-		return nil, gtkind.Wrap(err, gtkind.BadRequest, "read the request body")
+		return nil, false, gtkind.Wrap(err, gtkind.BadRequest, "read the request body")
 	case size > limit:
-		return nil, gtkind.New(gtkind.TooLarge, "request body is larger than %d bytes", limit)
+		return nil, false, gtkind.New(gtkind.TooLarge, "request body is larger than %d bytes", limit)
 	default:
-		return b, nil
+		return b, ended, nil
 	}
 }
 
-// readSegments reads a body to its end, or to one byte above limit. It reserves each segment
-// before it is read.
-func (h *Hold) readSegments(r *http.Request, limit int, stopped <-chan struct{}) ([][]byte, int, error) {
+// readSegments reads a body to its end, to one byte above limit, or to upTo bytes. It reserves
+// each segment before it is read, and reports whether the body has ended.
+func (h *Hold) readSegments(r *http.Request, limit, upTo int, stopped <-chan struct{}) ([][]byte, int, bool, error) {
 	expected := limit + 1
 	if r.ContentLength > 0 {
 		expected = int(r.ContentLength)
 	}
 	var segments [][]byte
 	size := 0
-	for next := firstSegmentBytes; size < expected; next = segmentBytes {
-		n := min(next, expected-size)
+	for next := firstSegmentBytes; size < min(expected, upTo); next = segmentBytes {
+		n := min(next, min(expected, upTo)-size)
 		if err := h.awaitRoom(r.Context(), int64(n), stopped); err != nil {
-			return nil, 0, err
+			return nil, 0, false, err
 		}
 		b := make([]byte, n)
 		filled, err := h.fill(r.Body, b)
@@ -114,21 +125,24 @@
 			segments = append(segments, b[:filled])
 		}
 		if err == io.EOF {
-			return segments, size, nil
+			return segments, size, true, nil
 		}
 		if err != nil {
-			return nil, 0, err
+			return nil, 0, false, err
 		}
 	}
 	if size > limit {
-		return nil, size, nil
+		return nil, size, false, nil
+	}
+	if size < expected {
+		return segments, size, false, nil
 	}
 	// Reading up to the end tells the server that the request is complete.
 	var b [1]byte
 	if _, err := io.ReadFull(r.Body, b[:]); err != io.EOF {
-		return nil, 0, err
+		return nil, 0, false, err
 	}
-	return segments, size, nil
+	return segments, size, true, nil
 }
 
 // fill reads into b until it is full or the body ends.
--- a/io/request/gthop/localbackend.go
+++ b/io/request/gthop/localbackend.go
@@ -292,7 +292,7 @@
 	if b.OnBegin != nil {
 		notRun = b.OnBegin(c)
 	}
-	httpResp, err := b.Pool.Do(ctx, b.Address, c.Class().PoolName(), req, c.Idempotent())
+	httpResp, err := b.send(ctx, c, req)
 	if err == nil {
 		status = httpResp.StatusCode
 		if err := b.Dialect.checkResponse(c, status, httpResp.Header); err != nil {
--- a/io/request/gthop/metadata.go
+++ b/io/request/gthop/metadata.go
@@ -36,6 +36,7 @@
 	flagReleasedByAll = "a"
 	flagLookupOnly    = "f"
 	flagLastAttempt   = "l"
+	flagWindows       = "w" // the body is sent in windows, once the receiver asks for it
 )
 
 // encodeCall sets HeaderCall to the metadata of a call to the given instance, as
@@ -59,7 +60,8 @@
 	meta[metaInstance] = instance
 	meta[metaRemaining] = strconv.FormatInt(c.Deadline().Sub(now).Milliseconds(), 10)
 	meta[metaFlags] = flagIf(flagNonIdempotent, !c.Idempotent()) + flagIf(flagRetry, c.IsRetry()) + flagIf(flagResend, c.IsResend()) +
-		flagIf(flagReleasedByAll, c.ReleasedByAll()) + flagIf(flagLookupOnly, c.LookupOnly()) + flagIf(flagLastAttempt, c.IsLastAttempt())
+		flagIf(flagReleasedByAll, c.ReleasedByAll()) + flagIf(flagLookupOnly, c.LookupOnly()) + flagIf(flagLastAttempt, c.IsLastAttempt()) +
+		flagIf(flagWindows, c.Stream() != nil)
 	meta[metaClass] = c.Class().String()
 	meta[metaService], meta[metaRoute] = c.Service(), c.Route()
 	meta[metaHops], meta[metaCrashes] = strconv.Itoa(c.Hops()), strconv.Itoa(c.Crashes())
--- /dev/null
+++ b/io/request/gthop/streamed.go
@@ -0,0 +1,65 @@
+package gthop
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"godwittide/core/request/gtcall"
+	"godwittide/core/request/gtstream"
+	"godwittide/io/connection/gtpool"
+)
+
+// slotCheckPeriod is the period at which a body that makes no progress is noticed.
+const slotCheckPeriod = 100 * time.Millisecond
+
+// do sends the request for a call through a pool.
+func do(ctx context.Context, pool *gtpool.Pool, addr string, req *http.Request, c gtcall.Call) (*http.Response, error) {
+	if c.Stream() == nil {
+		return pool.Do(ctx, addr, c.Class().PoolName(), req, c.Idempotent())
+	}
+	return pool.DoStream(ctx, addr, c.Class().PoolName(), req, c.Stream())
+}
+
+// send sends the request for a call to the backend server. While a body is forwarded in
+// windows, its slot is taken from it if no other is free and it makes no progress.
+func (b *LocalBackend) send(ctx context.Context, c gtcall.Call, req *http.Request) (*http.Response, error) {
+	if c.Stream() != nil {
+		sent := make(chan struct{})
+		defer close(sent)
+		go b.guardSlot(c, sent)
+	}
+	return do(ctx, b.Pool, b.Address, req, c)
+}
+
+// guardSlot drops the body of a call that stalls while the backend server has no free slot,
+// until sent is closed.
+func (b *LocalBackend) guardSlot(c gtcall.Call, sent <-chan struct{}) {
+	ticker := time.NewTicker(slotCheckPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-sent:
+			return
+		case <-ticker.C:
+			if l := b.Gate.Load(c.Route()); l.Busy() >= l.Limit() && c.Stream().IsStalled() {
+				c.Stream().Drop(gtstream.DroppedForSlot)
+				return
+			}
+		}
+	}
+}
+
+// askForWindows sends the interim response by which the sender of a call learns that the call
+// has its slot, and that its body is taken in windows from now on. net/http doesn't send its
+// own then.
+func (ka *keepAlive) askForWindows() {
+	ka.mu.Lock()
+	defer ka.mu.Unlock()
+	if ka.ended {
+		return
+	}
+	ka.w.Header().Set(gtpool.WindowsField, "1")
+	ka.w.WriteHeader(http.StatusContinue)
+	ka.w.Header().Del(gtpool.WindowsField)
+}
