--- a/core/process/gtbudget/budget_test.go
+++ b/core/process/gtbudget/budget_test.go
@@ -170,3 +170,25 @@
 	w.Release(8 * mib)
 	g.Expect(w.Used()).To(gomega.BeZero())
 }
+
+// Guards against a body that is dropped because its receiver takes it slowly: only the time in
+// which its sender is waited for counts.
+func TestPausedHolderIsNotDropped(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(4 * mib)
+	dropped := 0
+	h := w.Join(func() { dropped++ })
+	g.Expect(h.Reserve(2 * mib)).To(gomega.Equal(Granted))
+	h.Complete()
+	w.pass(time.Minute)
+	other := w.join()
+	g.Expect(other.Reserve(2 * mib)).To(gomega.Equal(Short))
+	g.Expect(dropped).To(gomega.BeZero())
+	h.Resume()
+	w.pass(StallTime - 1)
+	g.Expect(other.Reserve(2 * mib)).To(gomega.Equal(Short))
+	g.Expect(dropped).To(gomega.BeZero(), "the pause doesn't count")
+	w.pass(scanPeriod)
+	g.Expect(other.Reserve(2 * mib)).To(gomega.Equal(Short))
+	g.Expect(dropped).To(gomega.Equal(1), "a stall after the pause does")
+}
--- a/core/request/gtstream/stream.go
+++ b/core/request/gtstream/stream.go
@@ -102,6 +102,24 @@
 	}
 }
 
+// Name returns the cause as in metrics and logs.
+func (c Cause) Name() string {
+	switch c {
+	case SenderLeft:
+		return "sender"
+	case DeadlinePassed:
+		return "deadline"
+	case TooLarge:
+		return "size"
+	case DroppedForMemory:
+		return "memory"
+	case DroppedForSlot:
+		return "slot"
+	default:
+		return "none"
+	}
+}
+
 // Body is a request body that is forwarded in windows. Its function fields are set before use.
 // One goroutine forwards it at a time.
 type Body struct {
@@ -128,8 +146,10 @@
 	stopped   bool
 	cause     Cause
 	reading   bool      // a window is being read
+	readSince time.Time // of that window
 	mark      time.Time // of the last progress, moved on by the time in which nothing was read
 	pausedAt  time.Time
+	waited    time.Duration // while windows were read
 	moved     int64
 	markMoved int64
 }
@@ -184,13 +204,32 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if reading {
-		b.mark = b.mark.Add(now.Sub(b.pausedAt))
+		b.mark, b.readSince = b.mark.Add(now.Sub(b.pausedAt)), now
 	} else {
 		b.pausedAt = now
+		b.waited += now.Sub(b.readSince)
 	}
 	b.reading = reading
 }
 
+// Waited returns how long the sender of the body was waited for since the first window was
+// forwarded. That time is not the backend server's.
+func (b *Body) Waited() time.Duration {
+	if b == nil {
+		return 0
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.waited
+}
+
+// Cause returns why the body ended early, or None.
+func (b *Body) Cause() Cause {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.cause
+}
+
 // Moved tells that n bytes of the body have arrived.
 func (b *Body) Moved(n int) {
 	now := b.now()
@@ -261,12 +300,24 @@
 // Stop ends the forwarding: a Next that waits fails. It does nothing once the body is complete.
 func (b *Body) Stop() { b.stop(None) }
 
+// Expire ends the forwarding because the deadline has passed. That is the cause only if the
+// sender of the body is waited for, and not the receiver.
+func (b *Body) Expire() {
+	b.mu.Lock()
+	cause := None
+	if b.reading {
+		cause = DeadlinePassed
+	}
+	b.mu.Unlock()
+	b.stop(cause)
+}
+
 // Drop ends the forwarding for a cause.
 func (b *Body) Drop(cause Cause) { b.stop(cause) }
 
 func (b *Body) stop(cause Cause) {
 	b.mu.Lock()
-	ends := !b.complete && !b.stopped
+	ends := !b.complete && !b.stopped && b.cause == None
 	if ends {
 		b.stopped, b.cause = true, cause
 	}
--- a/io/connection/gtpool/stream.go
+++ b/io/connection/gtpool/stream.go
@@ -35,7 +35,13 @@
 	}
 	stream.Restart()
 	unbind := c.bindContext(ctx)
-	stop := context.AfterFunc(ctx, stream.Stop)
+	stop := context.AfterFunc(ctx, func() {
+		if ctx.Err() == context.DeadlineExceeded {
+			stream.Expire()
+		} else {
+			stream.Stop()
+		}
+	})
 	defer stop()
 	u := &upload{conn: c, stream: stream, isChunked: stream.Length() < 0, done: make(chan struct{})}
 	resp, err := u.exchange(req)
--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -125,6 +125,7 @@
 	scope       tally.Scope
 
 	requestLog *gtlog.RateLimitedLogger
+	streamLog  *gtlog.RateLimitedLogger
 	requests   *gtinflight.Table
 
 	table       *gtmember.Table
@@ -263,6 +264,7 @@
 	}
 	n.tracer = tracer
 	n.drain = gtdrain.Drain{Now: n.timer.Time, Linger: time.Duration(cfg.Limit.LingerPeriod), Limit: time.Duration(cfg.Limit.DrainTimeout)}
+	n.streamLog = &gtlog.RateLimitedLogger{Log: n.Log, Now: n.timer.Time, LinesPerSecond: 1}
 	n.requestLog = &gtlog.RateLimitedLogger{Log: n.Log, Now: n.timer.Time, LinesPerSecond: requestLinesPerSecond}
 	n.buildTables()
 	n.buildConfigStore()
@@ -339,7 +341,7 @@
 	if cfg.Backend.Learn {
 		n.localBackend.Learned, n.localBackend.OnServed = n.learnedCapacity, n.observeServed
 	}
-	n.hopHandler = &gthop.Handler{LocalBackend: n.localBackend, Timer: n.timer, MaxBodyBytes: n.maxBodyBytes, Budget: n.budget, OnPanic: n.recordPanic, PausedSince: n.timer.PausedSince, Requests: n.requests}
+	n.hopHandler = &gthop.Handler{LocalBackend: n.localBackend, Timer: n.timer, MaxBodyBytes: n.maxBodyBytes, Budget: n.budget, OnPanic: n.recordPanic, PausedSince: n.timer.PausedSince, Requests: n.requests, OnStreamed: n.recordStreamed}
 	client := &gthop.Client{Now: now, Pool: n.hopPool, Dialect: n.Dialect, MaxBufferBytes: cfg.Limit.MaxBufferBytes, Trace: n.tracer.Start}
 	n.edge = &gtedge.Edge{
 		Now: now, Self: cfg.Node.Instance, IDPrefix: cfg.Node.Instance + "-" + strconv.FormatInt(n.startTime.UnixMilli(), 36) + "-",
@@ -347,6 +349,7 @@
 		Retry: n.retry, Crashes: n.crashes, OnCrash: n.mergeCrash, HistoryKnown: n.dedupHistoryKnown, LocalBackend: n.localBackend, Client: client,
 		MayBegin: n.drain.MayBegin, Closing: n.drain.Begun, OnOutcome: n.recordOutcome, OnResponse: n.recordResponse, Trace: n.tracer.Start, OnPanic: n.recordPanic,
 		Dialect: n.Dialect, Split: split, IsCurrent: n.isCurrent, OnRetry: n.logRetry, OnOmitted: n.countOmittedAttempt, Requests: n.requests,
+		WholeBytes: func() int { return cfg.Limit.WholeBytes }, OnStreamed: n.recordStreamed,
 	}
 }
 
@@ -409,6 +412,7 @@
 			n.summaries.Expire()
 			n.dedup.Expire()
 			n.requestLog.Flush()
+			n.streamLog.Flush()
 			n.moves.Prune(n.holder.Current().Config(), gtmember.GoneRetention)
 			n.edge.Expire()
 			n.pruneAccounts()
--- a/io/process/gtsettings/settings.go
+++ b/io/process/gtsettings/settings.go
@@ -24,6 +24,8 @@
 	"github.com/joomcode/errorx"
 	"github.com/pelletier/go-toml/v2"
 	"github.com/rs/zerolog"
+
+	"godwittide/core/request/gtstream"
 )
 
 // Sample is a settings file with every key, its default and a comment.
@@ -155,6 +157,9 @@
 	// Pipeline is the maximum number of requests on one connection that are read before the
 	// first is answered. 1 means that each is read after the response to the one before.
 	Pipeline int `toml:"pipeline"`
+	// WholeBytes is the size up to which every request body is read whole before its request
+	// is routed. Larger ones that are not kept for a retry are forwarded in windows.
+	WholeBytes int `toml:"whole"`
 	// ReadTimeout is the timeout for reading the head or the body of a request.
 	ReadTimeout Duration `toml:"slow"`
 	// DrainTimeout is the maximum time that a shutdown waits for requests in flight.
@@ -212,7 +217,7 @@
 		Store:   Store{Prefix: "godwittide/"},
 		Duty:    Duty{Rate: 50, Lease: Duration(3 * time.Second), Window: Duration(5 * time.Second), Late: Duration(10 * time.Second)},
 		Limit: Limits{
-			MaxBodyBytes: 1 << 20, MaxHeadBytes: 32 << 10, MaxBufferBytes: 64 << 10, MaxHops: 16, MaxCallerConnections: 4096, MaxNodeConnections: 1 << 15, MaxAdminConnections: 256, MemoryBytes: 150 << 20, Pipeline: 16,
+			MaxBodyBytes: 1 << 20, MaxHeadBytes: 32 << 10, MaxBufferBytes: 64 << 10, MaxHops: 16, MaxCallerConnections: 4096, MaxNodeConnections: 1 << 15, MaxAdminConnections: 256, MemoryBytes: 150 << 20, Pipeline: 16, WholeBytes: gtstream.DefaultWholeBytes,
 			ReadTimeout: Duration(10 * time.Second), DrainTimeout: Duration(20 * time.Second), RefusePeriod: Duration(1500 * time.Millisecond),
 		},
 		Account: Account{RevokeTime: Duration(5 * time.Second)},
@@ -343,6 +348,7 @@
 		{"limit.admin", s.Limit.MaxAdminConnections, 1, 1 << 20},
 		{"limit.memory", s.Limit.MemoryBytes, 1 << 20, 1 << 40},
 		{"limit.pipeline", s.Limit.Pipeline, 1, 256},
+		{"limit.whole", s.Limit.WholeBytes, 0, 64 << 20},
 	}
 	for _, v := range ranges {
 		if v.value < v.low || v.value > v.high {
--- a/io/request/gtedge/edge.go
+++ b/io/request/gtedge/edge.go
@@ -109,6 +109,9 @@
 	// or nil, and the time that it took. The call is empty, or has only an ID and a
 	// route, if the request was refused before its call was built.
 	OnResponse func(c gtcall.Call, err error, d time.Duration)
+	// OnStreamed is called after each request whose body was forwarded in windows, with the
+	// cause if the body ended early. It may be nil.
+	OnStreamed func(c gtcall.Call, cause gtstream.Cause)
 	// OnRetry is called for each failed attempt that is retried, with its instance
 	// and error, and the number of attempts so far.
 	OnRetry func(c gtcall.Call, instance string, err error, count int)
@@ -148,6 +151,9 @@
 		hold.WriteResponse(w, resp)
 	}
 	entry.SetOutcome(gtinflight.OutcomeOf(err))
+	if c.Stream() != nil && e.OnStreamed != nil {
+		e.OnStreamed(c, c.Stream().Cause())
+	}
 }
 
 // origin returns who sent a request, as far as it says so.
@@ -462,7 +468,7 @@
 	}
 	e.recordOutcome(c, to, resp, k, d)
 	if k == gtkind.None {
-		e.Retry.RecordDuration(c.Route(), d)
+		e.Retry.RecordDuration(c.Route(), d-c.Stream().Waited())
 	}
 	if k == gtkind.Crashed && to.Instance() != e.Self {
 		e.OnCrash(gtdedup.NewCrash(c.Fingerprint(), c.Crashes()+1, !c.Idempotent(), e.Now().Add(gtdedup.CrashWindow)))
--- a/io/request/gthop/handler.go
+++ b/io/request/gthop/handler.go
@@ -17,6 +17,8 @@
 	"godwittide/core/request/gtdedup"
 	"godwittide/core/request/gtinflight"
 	"godwittide/core/request/gtkind"
+	"godwittide/core/request/gtstream"
+	"godwittide/core/version/gtconfig"
 	"godwittide/io/connection/gtpool"
 )
 
@@ -36,6 +38,9 @@
 	// PausedSince reports whether this process was paused at any time after since;
 	// nil means that no pauses are detected.
 	PausedSince func(since time.Time) bool
+	// OnStreamed is called after each call whose body came in windows, with the cause if the
+	// body ended early. It may be nil.
+	OnStreamed func(c gtcall.Call, cause gtstream.Cause)
 	// Requests holds the requests in flight; nil means that they aren't recorded.
 	Requests *gtinflight.Table
 
@@ -72,6 +77,9 @@
 		hold.WriteResponse(w, resp)
 	}
 	entry.SetOutcome(gtinflight.OutcomeOf(err))
+	if hold.stream != nil && h.OnStreamed != nil {
+		h.OnStreamed(gtcall.New(meta[metaID], r.Method, r.URL.RequestURI()).WithRoute(meta[metaService], meta[metaRoute], gtconfig.ParseClass(meta[metaClass])), hold.stream.Cause())
+	}
 }
 
 // setMeta sets the header fields by which a peer learns of the response and of the
--- a/io/request/gthop/hold.go
+++ b/io/request/gthop/hold.go
@@ -38,7 +38,7 @@
 	ctx    context.Context // of the request, for its connection
 	body   *gtbudget.Holder
 	stream *gtstream.Body // of a body that is forwarded in windows, or nil
-	waited bool // for room, while the body was read
+	waited bool           // for room, while the body was read
 }
 
 // NewHold returns the hold of a request. A nil budget has no bound.
--- a/io/request/gthop/localbackend.go
+++ b/io/request/gthop/localbackend.go
@@ -277,7 +277,7 @@
 	concurrency := int(b.running.Add(1))
 	var status int
 	finish := func(err error) {
-		latency := b.Now().Sub(start)
+		latency := b.Now().Sub(start) - c.Stream().Waited()
 		b.running.Add(-1)
 		result := admissionResult(status, err)
 		ticket.Done(c.Route(), latency, result)
--- a/test/untrusted/stream_test.go
+++ b/test/untrusted/stream_test.go
@@ -132,4 +132,3 @@
 		t.Errorf("%s: the peak of the resident memory is %.1f MB, the bound %.1f MB", name, mb(peak), mb(maxStreamPeakBytes))
 	}
 }
-
