Request bodies in windows: the kernel's timeout for unacknowledged data

TCP_USER_TIMEOUT (1.8 s between nodes) also ends connections whose receiver has no window. A server that began to read 6 s after the head got its body cut off, the caller 502; so did a pause of 3 s of the node beside it. It is lifted while a body is sent, and set again.

--- a/io/connection/gtpool/stream.go
+++ b/io/connection/gtpool/stream.go
@@ -9,6 +9,7 @@
 
 	"godwittide/core/request/gtkind"
 	"godwittide/core/request/gtstream"
+	"godwittide/io/connection/gtsocket"
 )
 
 const (
@@ -43,6 +44,7 @@
 		}
 	})
 	defer stop()
+	defer gtsocket.LiftUserTimeout(c.nc)()
 	u := &upload{conn: c, stream: stream, isChunked: stream.Length() < 0, done: make(chan struct{})}
 	resp, err := u.exchange(req)
 	isSent := u.end(err == nil)
--- a/io/connection/gtsocket/socket_test.go
+++ b/io/connection/gtsocket/socket_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/onsi/gomega"
+	"golang.org/x/sys/unix"
 
 	"godwittide/io/connection/gtsocket"
 )
@@ -78,3 +79,23 @@
 	cancel()
 	g.Expect(gtsocket.CallerLeft(ended)).To(gomega.BeTrue())
 }
+
+// Guards against a pooled connection that stays without the timeout after a body.
+func TestUserTimeoutIsSetAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	client, _ := connPair(t)
+	get := func() int {
+		raw, err := client.SyscallConn()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		v := -1
+		_ = raw.Control(func(fd uintptr) { v, _ = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT) })
+		return v
+	}
+	raw, _ := client.SyscallConn()
+	_ = raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, 1800) })
+	restore := gtsocket.LiftUserTimeout(wrapped{client})
+	g.Expect(get()).To(gomega.BeZero())
+	restore()
+	g.Expect(get()).To(gomega.Equal(1800))
+	gtsocket.LiftUserTimeout(struct{ net.Conn }{})() // no socket
+}
--- a/test/untrusted/stream_test.go
+++ b/test/untrusted/stream_test.go
@@ -1,6 +1,7 @@
 package untrusted
 
 import (
+	"bufio"
 	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
@@ -11,7 +12,9 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
+	"time"
 )
 
 const (
@@ -119,6 +122,102 @@
 	}
 }
 
+// Guards against the kernel's timeout for unacknowledged data between nodes, which ends a
+// connection whose receiver takes nothing for 1.8 s, as when the server reads slowly.
+func TestBodyWaitsForASlowServer(t *testing.T) {
+	p := startPair(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			time.Sleep(2 * pauseTime)
+		}
+		hashBody(w, r)
+	})
+	p.postOne(t, func() {})
+}
+
+// pauseTime is longer than the time without keep-alives after which a node avoids another.
+const pauseTime = 3 * time.Second
+
+// Guards against a body that is given up, or sent twice, because one of the processes is
+// paused: nothing but the deadline ends it.
+func TestBodyOutlastsAPause(t *testing.T) {
+	for _, who := range []string{"edge", "beside"} {
+		t.Run(who, func(t *testing.T) {
+			begun := make(chan struct{}, 10)
+			p := startPair(t, func(w http.ResponseWriter, r *http.Request) {
+				if r.Method == http.MethodPost {
+					begun <- struct{}{}
+				}
+				hashBody(w, r)
+			})
+			n := map[string]node{"edge": p.edge, "beside": p.beside}[who]
+			p.postOne(t, func() {
+				<-begun
+				_ = n.cmd.Process.Signal(syscall.SIGSTOP)
+				time.Sleep(pauseTime)
+				_ = n.cmd.Process.Signal(syscall.SIGCONT)
+			})
+			if len(begun) != 0 {
+				t.Errorf("the request began to run %d more times", len(begun))
+			}
+		})
+	}
+}
+
+// postOne sends one body, the second half of it after middle, and checks the answer.
+func (p pair) postOne(t *testing.T, middle func()) {
+	t.Helper()
+	b := pattern(1)
+	want := sha256.Sum256(b)
+	pr, pw := io.Pipe()
+	go func() {
+		_, _ = pw.Write(b[:streamBytes/2])
+		middle()
+		_, _ = pw.Write(b[streamBytes/2:])
+		_ = pw.Close()
+	}()
+	req, _ := http.NewRequest(http.MethodPost, "http://"+p.edge.edge+"/lending/x", pr)
+	req.ContentLength = streamBytes
+	resp, err := (&http.Client{Timeout: 2 * waitTime}).Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK || string(got) != hex.EncodeToString(want[:]) {
+		t.Errorf("status %d, %.200q, %v", resp.StatusCode, got, err)
+	}
+}
+
+// Guards against a streamed body that breaks the order, or the framing, of a connection on
+// which the caller sends requests ahead.
+func TestStreamedBodyBetweenRequestsSentAhead(t *testing.T) {
+	p := startPair(t, hashBody)
+	conn, err := net.Dial("tcp", p.edge.edge)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(waitTime))
+	b := pattern(2)
+	sum, empty := sha256.Sum256(b), sha256.Sum256(nil)
+	const get = "GET /lending/x HTTP/1.1\r\nHost: node\r\n\r\n"
+	go func() {
+		_, _ = fmt.Fprintf(conn, "%s%sContent-Length: %d\r\n\r\n%s%s", get, post, len(b), b, get)
+		_, _ = fmt.Fprintf(conn, "%sTransfer-Encoding: chunked\r\n\r\n%s0\r\n\r\n%s", post, chunk(b), get)
+	}()
+	r := bufio.NewReader(conn)
+	for i, want := range [][32]byte{empty, sum, empty, sum, empty} {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatalf("response %d: %v", i, err)
+		}
+		got, err := io.ReadAll(resp.Body)
+		if err != nil || resp.StatusCode != http.StatusOK || string(got) != hex.EncodeToString(want[:]) {
+			t.Fatalf("response %d: status %d, %.200q, %v", i, resp.StatusCode, got, err)
+		}
+	}
+}
+
 // checkPeak checks that the node lives and that its peak is under the bound for large bodies.
 func (n node) checkPeak(t *testing.T, name string) {
 	t.Helper()
