Request bodies in windows: permits, so that bodies on their way leave slots to others

test/untrusted TestBodiesWithLength/whole and TestChunkedBodies/large_chunks failed with the ordinary GET refused (503 full): a crowd that stopped short of its bodies held all slots, or filled the queue, which complete bodies only had done before.

--- a/core/request/gtstream/stream.go
+++ b/core/request/gtstream/stream.go
@@ -128,8 +128,11 @@
 	Read func() ([]byte, Cause, error)
 	// Interrupt ends a Read that waits, and all further ones.
 	Interrupt func()
-	// Begin is called once, right before the first window is forwarded. It may be nil.
-	Begin func()
+	// Begin is called once, right before the first window is forwarded, or before the rest of
+	// the body is read to be kept. It may be nil.
+	Begin func(inWindows bool)
+	// OnEnd is called when nothing more of the body is read, possibly more than once. It may be nil.
+	OnEnd func()
 	// KeepAll reads the rest of the body and keeps it, for a receiver that reads it whole.
 	// Afterwards Rewind makes Read begin anew.
 	KeepAll func() error
@@ -167,23 +170,40 @@
 // the failure is no evidence about the backend server.
 func (b *Body) Next() ([]byte, error) {
 	if b.begin() && b.Begin != nil {
-		b.Begin()
+		b.Begin(true)
 	}
 	b.setReading(true)
 	window, cause, err := b.Read()
 	b.setReading(false)
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	switch {
-	case err == nil:
+	switch err {
+	case nil:
 		return window, nil
-	case err == io.EOF:
-		b.complete = true
+	case io.EOF:
+		b.MarkComplete()
 		return nil, io.EOF
-	case b.cause == None && !b.stopped:
+	default:
+		return nil, b.fail(cause)
+	}
+}
+
+// fail records the cause of a failure and returns its error. After a Stop, a read that fails
+// has been interrupted, unless the sender has left: the context of its request, whose end stops
+// the body, may end before the read that noticed it returns.
+func (b *Body) fail(cause Cause) error {
+	defer b.end()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.cause == None && (!b.stopped || cause == SenderLeft) {
 		b.cause = cause
 	}
-	return nil, b.failureLocked()
+	return b.failureLocked()
+}
+
+// end tells that nothing more is read.
+func (b *Body) end() {
+	if b.OnEnd != nil {
+		b.OnEnd()
+	}
 }
 
 // begin marks the body as taken and reports whether it was not before.
@@ -252,8 +272,9 @@
 // MarkComplete tells that the last byte has been read.
 func (b *Body) MarkComplete() {
 	b.mu.Lock()
-	defer b.mu.Unlock()
 	b.complete = true
+	b.mu.Unlock()
+	b.end()
 }
 
 // IsComplete reports whether the body was read to its end, so that its connection may carry
@@ -280,6 +301,9 @@
 	if kept {
 		return nil
 	}
+	if b.Begin != nil {
+		b.Begin(false)
+	}
 	err := b.KeepAll()
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -287,6 +311,13 @@
 	return err
 }
 
+// IsKept reports whether the whole body is in memory.
+func (b *Body) IsKept() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.kept
+}
+
 // Restart makes Next begin with the first byte for another attempt.
 func (b *Body) Restart() {
 	b.mu.Lock()
@@ -324,6 +355,7 @@
 	b.mu.Unlock()
 	if ends {
 		b.Interrupt()
+		b.end()
 	}
 }
 
--- a/io/connection/gtpool/stream.go
+++ b/io/connection/gtpool/stream.go
@@ -36,16 +36,10 @@
 	}
 	stream.Restart()
 	unbind := c.bindContext(ctx)
-	stop := context.AfterFunc(ctx, func() {
-		if ctx.Err() == context.DeadlineExceeded {
-			stream.Expire()
-		} else {
-			stream.Stop()
-		}
-	})
-	defer stop()
 	defer gtsocket.LiftUserTimeout(c.nc)()
-	u := &upload{conn: c, stream: stream, isChunked: stream.Length() < 0, done: make(chan struct{})}
+	u := &upload{ctx: ctx, conn: c, stream: stream, isChunked: stream.Length() < 0, done: make(chan struct{})}
+	stop := context.AfterFunc(ctx, u.stop)
+	defer stop()
 	resp, err := u.exchange(req)
 	isSent := u.end(err == nil)
 	if err != nil {
@@ -69,6 +63,7 @@
 // upload is an exchange whose body is forwarded in windows. One goroutine sends the body while
 // that of the exchange waits for the response.
 type upload struct {
+	ctx       context.Context
 	conn      *conn
 	stream    *gtstream.Body
 	isChunked bool
@@ -196,6 +191,16 @@
 	return err
 }
 
+// stop ends the reading of the body. The deadline of the connection may pass before the
+// context ends, which net/http cancels when a read times out.
+func (u *upload) stop() {
+	if u.ctx.Err() == context.DeadlineExceeded || u.conn.deadlinePassed() {
+		u.stream.Expire()
+	} else {
+		u.stream.Stop()
+	}
+}
+
 // end waits until nothing more is sent, and reports whether the whole body was. If the response
 // has come before that, the rest is left unsent.
 func (u *upload) end(hasResponse bool) bool {
@@ -211,7 +216,7 @@
 		case <-timer.C:
 		}
 	}
-	u.stream.Stop()
+	u.stop()
 	_ = u.conn.nc.SetWriteDeadline(pastDeadline)
 	<-u.done
 	return u.isSent
--- a/io/request/gthop/handler.go
+++ b/io/request/gthop/handler.go
@@ -151,7 +151,7 @@
 		if err != nil {
 			return gtcall.Response{}, err
 		}
-		stream.Begin = ka.askForWindows
+		stream.Begin = ka.askForBody
 		c = c.WithStream(stream)
 	}
 	return h.LocalBackend.Run(ctx, c)
--- a/io/request/gthop/localbackend.go
+++ b/io/request/gthop/localbackend.go
@@ -13,6 +13,7 @@
 	"godwittide/core/request/gtinflight"
 	"godwittide/core/request/gtkind"
 	"godwittide/core/request/gtroute"
+	"godwittide/core/request/gtstream"
 	"godwittide/core/version/gtcanary"
 	"godwittide/io/connection/gtpool"
 )
@@ -88,6 +89,7 @@
 	Trace func(ctx context.Context, name string, h http.Header) (context.Context, func(error))
 
 	running atomic.Int64
+	permits gtstream.Permits
 }
 
 // Load returns the load of the backend server, with what was learned of it for a route.
@@ -117,6 +119,13 @@
 	if b.Crashes.IsBlocked(c.Fingerprint()) {
 		return gtcall.Response{}, BlockedError(c)
 	}
+	if c.Stream() != nil {
+		release, err := b.permit(c)
+		if err != nil {
+			return gtcall.Response{}, err
+		}
+		defer release()
+	}
 	if c.Key() == "" || c.Idempotent() {
 		return b.admit(ctx, c, func(gtcall.Response, error) {})
 	}
--- a/io/request/gthop/streamed.go
+++ b/io/request/gthop/streamed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"godwittide/core/request/gtcall"
@@ -21,10 +22,25 @@
 	return pool.DoStream(ctx, addr, c.Class().PoolName(), req, c.Stream())
 }
 
+// permit takes a permit to forward the body of a call in windows, which ends with the body. The
+// returned function ends it in any case. Without a permit the body is read whole, as one whose
+// request may be sent elsewhere if it is refused.
+func (b *LocalBackend) permit(c gtcall.Call) (release func(), err error) {
+	if c.Stream().IsKept() {
+		return func() {}, nil
+	}
+	if !b.permits.TryAcquire(b.Gate.Load(c.Route()).Limit()) {
+		return func() {}, c.Stream().Keep()
+	}
+	release = sync.OnceFunc(b.permits.Release)
+	c.Stream().OnEnd = release
+	return release, nil
+}
+
 // send sends the request for a call to the backend server. While a body is forwarded in
 // windows, its slot is taken from it if no other is free and it makes no progress.
 func (b *LocalBackend) send(ctx context.Context, c gtcall.Call, req *http.Request) (*http.Response, error) {
-	if c.Stream() != nil {
+	if c.Stream() != nil && !c.Stream().IsKept() {
 		sent := make(chan struct{})
 		defer close(sent)
 		go b.guardSlot(c, sent)
@@ -50,16 +66,17 @@
 	}
 }
 
-// askForWindows sends the interim response by which the sender of a call learns that the call
-// has its slot, and that its body is taken in windows from now on. net/http doesn't send its
-// own then.
-func (ka *keepAlive) askForWindows() {
+// askForBody sends the interim response by which the sender of a call learns that its body is
+// taken: in windows, as the call has its slot, or whole. net/http doesn't send its own then.
+func (ka *keepAlive) askForBody(inWindows bool) {
 	ka.mu.Lock()
 	defer ka.mu.Unlock()
 	if ka.ended {
 		return
 	}
-	ka.w.Header().Set(gtpool.WindowsField, "1")
+	if inWindows {
+		ka.w.Header().Set(gtpool.WindowsField, "1")
+	}
 	ka.w.WriteHeader(http.StatusContinue)
 	ka.w.Header().Del(gtpool.WindowsField)
 }
