--- a/io/request/gthop/streamed_test.go
+++ b/io/request/gthop/streamed_test.go
@@ -4,12 +4,14 @@
 	"bytes"
 	"context"
 	"crypto/sha256"
+	"crypto/tls"
 	"encoding/hex"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -49,6 +51,7 @@
 	peer       http.Handler
 	peerBudget *gtbudget.Budget
 	readWhole  bool
+	secure     bool // TLS between the nodes
 	timeout    time.Duration
 
 	edge, server string // addresses
@@ -101,8 +104,26 @@
 	if h.peer == nil {
 		h.peer = peer
 	}
-	hop := listen(t, &http.Server{Handler: h.peer, ReadTimeout: hopReadTimeout})
 	h.pool = newPool(true)
+	hop := ""
+	if h.secure {
+		s := httptest.NewUnstartedServer(h.peer)
+		s.Config.ConnContext, s.Config.ReadTimeout = gtsocket.WithConn, hopReadTimeout
+		s.StartTLS()
+		t.Cleanup(s.Close)
+		hop = s.Listener.Addr().String()
+		cfg := s.Client().Transport.(*http.Transport).TLSClientConfig.Clone()
+		cfg.ServerName = "example.com"
+		h.pool.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+			nc, err := dialTCP(ctx, addr)
+			if err != nil {
+				return nil, err
+			}
+			return tls.Client(nc, cfg), nil
+		}
+	} else {
+		hop = listen(t, &http.Server{Handler: h.peer, ReadTimeout: hopReadTimeout})
+	}
 	cl := &Client{Now: time.Now, Pool: h.pool, MaxBufferBytes: 1000, Trace: (&gttrace.Tracer{}).Start}
 	h.edge = listen(t, &http.Server{ReadTimeout: hopReadTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		hold := NewHold(nil, r)
@@ -187,7 +208,7 @@
 		for _, size := range []int{hopBodyBytes, gtstream.DefaultWholeBytes + 1, gtstream.DefaultWholeBytes, 10} {
 			t.Run(fmt.Sprint(name, " ", size), func(t *testing.T) {
 				g := gomega.NewWithT(t)
-				h := (&hops{backend: hashed}).start(t)
+				h := (&hops{backend: hashed, secure: size == hopBodyBytes}).start(t)
 				b := testBody()[:size]
 				for range 2 {
 					resp, got, err := h.post(reader(b))
@@ -205,11 +226,14 @@
 // Guards against a truncated body that looks complete to the backend server when its sender
 // leaves in the middle.
 func TestBodyThatIsCutOffNeverLooksComplete(t *testing.T) {
-	for _, framing := range []string{fmt.Sprintf("Content-Length: %d\r\n\r\n", hopBodyBytes), "Transfer-Encoding: chunked\r\n\r\n100000\r\n"} {
+	for i, framing := range []string{
+		fmt.Sprintf("Content-Length: %d\r\n\r\n", hopBodyBytes), "Transfer-Encoding: chunked\r\n\r\n100000\r\n",
+		fmt.Sprintf("Content-Length: %d\r\n\r\n", hopBodyBytes), "Transfer-Encoding: chunked\r\n\r\n100000\r\n",
+	} {
 		t.Run(framing[:7], func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			read := make(chan error, 1)
-			h := (&hops{backend: func(_ http.ResponseWriter, r *http.Request) {
+			h := (&hops{secure: i >= 2, backend: func(_ http.ResponseWriter, r *http.Request) {
 				_, err := io.Copy(io.Discard, r.Body)
 				read <- err
 			}}).start(t)
@@ -230,12 +254,12 @@
 // Guards against a response that waits for the rest of its body, and against a connection on
 // which the server would take that rest for another request.
 func TestServerThatRespondsEarly(t *testing.T) {
-	for name, reader := range bodies {
+	for _, name := range []string{"length", "chunked", "length by TLS", "chunked by TLS"} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			var mu sync.Mutex
 			requests := 0
-			h := (&hops{backend: func(w http.ResponseWriter, r *http.Request) {
+			h := (&hops{secure: strings.HasSuffix(name, "TLS"), backend: func(w http.ResponseWriter, r *http.Request) {
 				mu.Lock()
 				requests++
 				mu.Unlock()
@@ -244,17 +268,13 @@
 				w.WriteHeader(http.StatusForbidden)
 				_, _ = io.WriteString(w, "early")
 			}}).start(t)
-			conn, err := net.Dial("tcp", h.edge)
-			g.Expect(err).NotTo(gomega.HaveOccurred())
-			defer conn.Close()
 			pr, pw := io.Pipe()
 			go func() { // the caller never sends the rest
 				_, _ = pw.Write(testBody()[:600<<10])
 			}()
-			_ = reader
 			client := http.Client{Timeout: hopTimeout}
 			req, _ := http.NewRequest(http.MethodPost, "http://"+h.edge+"/x", pr)
-			if name == "length" {
+			if strings.HasPrefix(name, "length") {
 				req.ContentLength = hopBodyBytes
 			}
 			resp, err := client.Do(req)
@@ -277,8 +297,11 @@
 	var runs sync.Map
 	h := (&hops{backend: func(http.ResponseWriter, *http.Request) { runs.Store("run", true) }}).start(t)
 	h.local.MayRun = func(gtcall.Call) error { return gtkind.New(gtkind.Leaving, "draining") }
-	body := &countingReader{Reader: bytes.NewReader(testBody())}
-	req, _ := http.NewRequest(http.MethodPost, "http://"+h.edge+"/x", io.MultiReader(body))
+	// The caller sends the first window and nothing more.
+	pr, pw := io.Pipe()
+	defer pw.Close()
+	go func() { _, _ = pw.Write(testBody()[:gtstream.WindowBytes]) }()
+	req, _ := http.NewRequest(http.MethodPost, "http://"+h.edge+"/x", pr)
 	req.ContentLength = hopBodyBytes
 	resp, err := http.DefaultTransport.RoundTrip(req)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -291,10 +314,6 @@
 	g.Expect(h.lastKind(g)).To(gomega.Equal(gtkind.Leaving))
 }
 
-type countingReader struct {
-	io.Reader
-}
-
 // Guards against the timeout for reading a request, which must not cut off a body that the
 // backend server reads slowly.
 func TestSlowServerGetsTheWholeBody(t *testing.T) {
@@ -495,3 +514,50 @@
 		})
 	}
 }
+
+// Guards against the time of a slow sender in what is learned of the backend server, and
+// against a streamed request that is not counted as one that ran.
+func TestTimeOfASlowSenderIsNotTheServers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := (&hops{backend: hashed}).start(t)
+	var mu sync.Mutex
+	var begun, notRun int
+	var served time.Duration
+	var status int
+	h.local.OnBegin = func(gtcall.Call) func() {
+		mu.Lock()
+		defer mu.Unlock()
+		begun++
+		return func() { notRun++ }
+	}
+	h.local.ReadyAt = func() time.Time { return time.Now().Add(-time.Hour) }
+	h.local.OnServed = func(_ string, _ int, start, end time.Time) {
+		mu.Lock()
+		defer mu.Unlock()
+		served = end.Sub(start)
+	}
+	h.local.OnResult = func(_ gtcall.Call, s int, _ error, _ time.Duration) {
+		mu.Lock()
+		defer mu.Unlock()
+		status = s
+	}
+	const pause = 1500 * time.Millisecond
+	b := testBody()
+	pr, pw := io.Pipe()
+	go func() {
+		_, _ = pw.Write(b[:hopBodyBytes/2])
+		time.Sleep(pause)
+		_, _ = pw.Write(b[hopBodyBytes/2:])
+		_ = pw.Close()
+	}()
+	resp, got, err := h.post(pr)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusOK), got)
+	g.Eventually(func() int { return h.local.Gate.Load("r").Busy() }).Should(gomega.BeZero())
+	mu.Lock()
+	defer mu.Unlock()
+	g.Expect(begun).To(gomega.Equal(1))
+	g.Expect(notRun).To(gomega.BeZero())
+	g.Expect(status).To(gomega.Equal(http.StatusOK))
+	g.Expect(served).To(gomega.And(gomega.BeNumerically(">", 0), gomega.BeNumerically("<", pause)))
+}
