--- a/core/request/gtinflight/table.go
+++ b/core/request/gtinflight/table.go
@@ -95,6 +95,21 @@
 	})
 }
 
+// StopStreams stops the bodies that are being forwarded in windows.
+func (t *Table) StopStreams() {
+	var stops []func()
+	t.each(func(s *shard) {
+		for e := range s.entries {
+			if e.stopStream != nil {
+				stops = append(stops, e.stopStream)
+			}
+		}
+	})
+	for _, stop := range stops {
+		stop()
+	}
+}
+
 // Counts returns the number of requests in flight by origin and stage.
 func (t *Table) Counts() Counts {
 	var c Counts
@@ -133,6 +148,7 @@
 	request Request // guarded by the lock of the shard, as the following fields
 	ended   bool
 
+	stopStream  func() // of a body that is forwarded in windows
 	interrupt   func() // while the body is read
 	interrupted bool
 }
@@ -189,6 +205,17 @@
 	return !e.interrupted
 }
 
+// BeginStream tells that the request's body is forwarded in windows, and how to stop that. The
+// function must not block, and may be called after the body has ended.
+func (e *Entry) BeginStream(stop func()) {
+	if e == nil {
+		return
+	}
+	e.shard.mu.Lock()
+	defer e.shard.mu.Unlock()
+	e.stopStream = stop
+}
+
 // SetOutcome sets what the request ends with. Without one it ends as Cut.
 func (e *Entry) SetOutcome(o Outcome) { e.update(func(r *Request) { r.outcome = o }) }
 
--- a/core/request/gtstream/stream.go
+++ b/core/request/gtstream/stream.go
@@ -79,6 +79,8 @@
 	TooLarge
 	// DroppedForMemory means that the body made no progress while memory was short.
 	DroppedForMemory
+	// ShutDown means that this node shut down before the body had arrived.
+	ShutDown
 	// DroppedForSlot means that the body made no progress while no slot of the backend server
 	// was free.
 	DroppedForSlot
@@ -95,6 +97,8 @@
 		return "it is larger than the limit"
 	case DroppedForMemory:
 		return "it made no progress while memory was short"
+	case ShutDown:
+		return "this node shut down before it had arrived"
 	case DroppedForSlot:
 		return "it made no progress while the backend server had no free slot"
 	default:
@@ -113,6 +117,8 @@
 		return "size"
 	case DroppedForMemory:
 		return "memory"
+	case ShutDown:
+		return "shutdown"
 	case DroppedForSlot:
 		return "slot"
 	default:
--- a/core/request/gtstream/stream_test.go
+++ b/core/request/gtstream/stream_test.go
@@ -121,7 +121,7 @@
 	g := gomega.NewWithT(t)
 	for cause, want := range map[Cause]gtkind.Kind{
 		SenderLeft: gtkind.Canceled, DeadlinePassed: gtkind.Deadline, TooLarge: gtkind.ConnectionLost,
-		DroppedForMemory: gtkind.ConnectionLost, DroppedForSlot: gtkind.ConnectionLost,
+		DroppedForMemory: gtkind.ConnectionLost, DroppedForSlot: gtkind.ConnectionLost, ShutDown: gtkind.ConnectionLost,
 	} {
 		b := newBody(&clock{time.Unix(1000, 0)})
 		b.Read = func() ([]byte, Cause, error) { return nil, cause, errors.New("failed") }
--- a/io/process/gtnode/shutdown.go
+++ b/io/process/gtnode/shutdown.go
@@ -53,6 +53,7 @@
 		case now := <-drainTimeout.C():
 			n.logDrainTimeout()
 			n.requests.InterruptReading(now)
+			n.requests.StopStreams()
 		}
 		break
 	}
--- a/io/request/gthop/handler.go
+++ b/io/request/gthop/handler.go
@@ -147,7 +147,7 @@
 	ka, stop := h.startKeepAlive(c.ID(), w)
 	defer stop()
 	if inWindows {
-		stream, err := hold.OpenPeerBody(r, h.MaxBodyBytes(), c.Deadline())
+		stream, err := hold.OpenPeerBody(r, entry, h.MaxBodyBytes(), c.Deadline())
 		if err != nil {
 			return gtcall.Response{}, err
 		}
--- a/io/request/gthop/streamed_test.go
+++ b/io/request/gthop/streamed_test.go
@@ -25,6 +25,7 @@
 	"godwittide/core/request/gtadmission"
 	"godwittide/core/request/gtcall"
 	"godwittide/core/request/gtdedup"
+	"godwittide/core/request/gtinflight"
 	"godwittide/core/request/gtkind"
 	"godwittide/core/request/gtstream"
 	"godwittide/core/version/gtcanary"
@@ -51,6 +52,7 @@
 	peer       http.Handler
 	peerBudget *gtbudget.Budget
 	readWhole  bool
+	requests   *gtinflight.Table
 	secure     bool // TLS between the nodes
 	timeout    time.Duration
 
@@ -133,7 +135,9 @@
 		if h.readWhole {
 			reading = gtstream.Whole
 		}
-		segments, stream, err := hold.OpenBody(r, nil, reading, 64<<20, gtstream.DefaultWholeBytes, deadline)
+		entry := h.requests.Begin(gtinflight.Caller, r.RemoteAddr)
+		defer entry.End()
+		segments, stream, err := hold.OpenBody(r, entry, reading, 64<<20, gtstream.DefaultWholeBytes, deadline)
 		if err != nil {
 			t.Errorf("first window: %v", err)
 		}
@@ -561,3 +565,28 @@
 	g.Expect(status).To(gomega.Equal(http.StatusOK))
 	g.Expect(served).To(gomega.And(gomega.BeNumerically(">", 0), gomega.BeNumerically("<", pause)))
 }
+
+// Guards against a stop at whose end a body that is still on its way looks complete, or its
+// caller gets a reset in place of an answer.
+func TestStopCutsOffABodyOnItsWay(t *testing.T) {
+	g := gomega.NewWithT(t)
+	read := make(chan error, 1)
+	h := (&hops{requests: &gtinflight.Table{Now: time.Now}, backend: func(_ http.ResponseWriter, r *http.Request) {
+		_, err := io.Copy(io.Discard, r.Body)
+		read <- err
+	}}).start(t)
+	pr, pw := io.Pipe()
+	defer pw.Close()
+	go func() { _, _ = pw.Write(testBody()[:600<<10]) }()
+	go func() {
+		g.Eventually(func() int { return h.local.Gate.Load("r").Busy() }, hopTimeout).Should(gomega.Equal(1))
+		h.requests.InterruptReading(time.Now())
+		g.Consistently(read, "200ms").ShouldNot(gomega.Receive(), "its request runs")
+		h.requests.StopStreams()
+	}()
+	resp, got, err := h.post(pr)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusBadGateway), got)
+	g.Eventually(read, hopTimeout).Should(gomega.Receive(&err))
+	g.Expect(err).To(gomega.HaveOccurred())
+}
--- a/io/request/gthop/windows.go
+++ b/io/request/gthop/windows.go
@@ -51,12 +51,12 @@
 	if err != nil || ended {
 		return segments, nil, err
 	}
-	return nil, h.newStream(r, limit, deadline, segments), nil
+	return nil, h.newStream(r, entry, limit, deadline, segments), nil
 }
 
 // OpenPeerBody returns the stream of a body that a peer sends in windows, none of which has
 // been read. It reserves one window.
-func (h *Hold) OpenPeerBody(r *http.Request, limit int, deadline time.Time) (*gtstream.Body, error) {
+func (h *Hold) OpenPeerBody(r *http.Request, entry *gtinflight.Entry, limit int, deadline time.Time) (*gtstream.Body, error) {
 	if r.ContentLength > int64(limit) {
 		return nil, gtkind.New(gtkind.TooLarge, "request body has %d bytes, the limit is %d", r.ContentLength, limit)
 	}
@@ -65,18 +65,18 @@
 		return nil, errNoRoom
 	}
 	h.body.Complete()
-	stream := h.newStream(r, limit, deadline, nil)
-	return stream, nil
+	return h.newStream(r, entry, limit, deadline, nil), nil
 }
 
 // newStream returns the stream of a body of which the given segments have been read.
-func (h *Hold) newStream(r *http.Request, limit int, deadline time.Time, segments [][]byte) *gtstream.Body {
+func (h *Hold) newStream(r *http.Request, entry *gtinflight.Entry, limit int, deadline time.Time, segments [][]byte) *gtstream.Body {
 	w := &windows{hold: h, r: r, limit: limit, deadline: deadline, unsent: segments, stream: gtstream.NewBody(r.ContentLength, time.Now)}
 	for _, b := range segments {
 		w.size += len(b)
 	}
 	w.stream.Read, w.stream.Interrupt, w.stream.KeepAll, w.stream.Rewind = w.read, w.interrupt, w.keepAll, w.rewind
 	h.stream = w.stream
+	entry.BeginStream(func() { w.stream.Drop(gtstream.ShutDown) })
 	return w.stream
 }
 
