--- a/core/request/gtstream/stream.go
+++ b/core/request/gtstream/stream.go
@@ -299,6 +299,13 @@
 	return !b.taken && !b.stopped
 }
 
+// WasForwarded reports whether a window has been forwarded.
+func (b *Body) WasForwarded() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.taken && !b.kept
+}
+
 // Keep reads the rest of the body and keeps it.
 func (b *Body) Keep() error {
 	b.mu.Lock()
@@ -313,8 +320,12 @@
 	err := b.KeepAll()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.kept, b.complete, b.taken = err == nil, err == nil, err != nil
-	return err
+	if err != nil {
+		b.stopped = true
+		return err
+	}
+	b.kept, b.complete = true, true
+	return nil
 }
 
 // IsKept reports whether the whole body is in memory.
--- a/io/request/gtedge/edge.go
+++ b/io/request/gtedge/edge.go
@@ -151,7 +151,7 @@
 		hold.WriteResponse(w, resp)
 	}
 	entry.SetOutcome(gtinflight.OutcomeOf(err))
-	if c.Stream() != nil && e.OnStreamed != nil {
+	if c.Stream() != nil && c.Stream().WasForwarded() && e.OnStreamed != nil {
 		e.OnStreamed(c, c.Stream().Cause())
 	}
 }
--- a/io/request/gthop/handler.go
+++ b/io/request/gthop/handler.go
@@ -77,7 +77,7 @@
 		hold.WriteResponse(w, resp)
 	}
 	entry.SetOutcome(gtinflight.OutcomeOf(err))
-	if hold.stream != nil && h.OnStreamed != nil {
+	if hold.stream != nil && hold.stream.WasForwarded() && h.OnStreamed != nil {
 		h.OnStreamed(gtcall.New(meta[metaID], r.Method, r.URL.RequestURI()).WithRoute(meta[metaService], meta[metaRoute], gtconfig.ParseClass(meta[metaClass])), hold.stream.Cause())
 	}
 }
