--- a/core/request/gtstream/stream.go
+++ b/core/request/gtstream/stream.go
@@ -137,8 +137,6 @@
 	// Begin is called once, right before the first window is forwarded, or before the rest of
 	// the body is read to be kept. It may be nil.
 	Begin func(inWindows bool)
-	// OnEnd is called when nothing more of the body is read, possibly more than once. It may be nil.
-	OnEnd func()
 	// KeepAll reads the rest of the body and keeps it, for a receiver that reads it whole.
 	// Afterwards Rewind makes Read begin anew.
 	KeepAll func() error
@@ -149,6 +147,7 @@
 	now    func() time.Time
 
 	mu        sync.Mutex
+	onEnd     func()
 	taken     bool // a window has been forwarded that is not kept
 	kept      bool // the whole body is in memory
 	complete  bool // the last byte has been read
@@ -196,7 +195,7 @@
 // has been interrupted, unless the sender has left: the context of its request, whose end stops
 // the body, may end before the read that noticed it returns.
 func (b *Body) fail(cause Cause) error {
-	defer b.end()
+	defer b.end() // which takes the lock, and so runs after the lock is free
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.cause == None && (!b.stopped || cause == SenderLeft) {
@@ -205,10 +204,20 @@
 	return b.failureLocked()
 }
 
+// NotifyEnd sets what is called when nothing more of the body is read, possibly more than once.
+func (b *Body) NotifyEnd(fn func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.onEnd = fn
+}
+
 // end tells that nothing more is read.
 func (b *Body) end() {
-	if b.OnEnd != nil {
-		b.OnEnd()
+	b.mu.Lock()
+	fn := b.onEnd
+	b.mu.Unlock()
+	if fn != nil {
+		fn()
 	}
 }
 
--- a/io/request/gthop/streamed.go
+++ b/io/request/gthop/streamed.go
@@ -33,7 +33,7 @@
 		return func() {}, c.Stream().Keep()
 	}
 	release = sync.OnceFunc(b.permits.Release)
-	c.Stream().OnEnd = release
+	c.Stream().NotifyEnd(release)
 	return release, nil
 }
 
