--- a/core/request/gtstream/stream.go
+++ b/core/request/gtstream/stream.go
@@ -413,12 +413,13 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	detail := gtkind.Detail(err)
 	switch {
 	case b.cause == SenderLeft, b.cause == None && b.complete:
 		return err
 	case b.cause == DeadlinePassed:
-		return gtkind.Wrap(err, gtkind.Deadline, "the request was cut off")
+		return gtkind.Wrap(err, gtkind.Deadline, "%s", detail)
 	default:
-		return gtkind.Wrap(err, gtkind.ConnectionLost, "the request was cut off")
+		return gtkind.Wrap(err, gtkind.ConnectionLost, "%s", detail)
 	}
 }
