--- a/core/request/gtstream/permits.go
+++ b/core/request/gtstream/permits.go
@@ -27,6 +27,13 @@
 	return true
 }
 
+// HasFree reports whether TryAcquire would find a permit now.
+func (p *Permits) HasFree(slots int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.used < slots/permitShare
+}
+
 // Release gives a permit back.
 func (p *Permits) Release() {
 	p.mu.Lock()
--- a/core/request/gtstream/permits_test.go
+++ b/core/request/gtstream/permits_test.go
@@ -23,6 +23,7 @@
 			p.Release()
 			g.Expect(p.TryAcquire(slots)).To(gomega.BeTrue())
 		}
+		g.Expect(p.HasFree(slots)).To(gomega.BeFalse())
 		g.Expect(p.TryAcquire(slots)).To(gomega.BeFalse())
 		g.Expect(p.TryAcquire(slots+2)).To(gomega.BeTrue(), "the limit of the gate has risen")
 	}
--- a/io/request/gtedge/edge.go
+++ b/io/request/gtedge/edge.go
@@ -244,7 +244,7 @@
 	bodyTimeout := cmp.Or(route.Timeout(), gtconfig.MaxTimeout)
 	bodyDeadline := start.Add(e.Dialect.ShortenTimeout(r, bodyTimeout))
 	entry.Identify(id, route.Name(), bodyDeadline)
-	reading := gtstream.Choose(route.Idempotent(r.Method), key != "", r.ContentLength, int64(e.wholeBytes()))
+	reading := e.chooseReading(route, r, key)
 	body, stream, err := hold.OpenBody(r, entry, reading, e.MaxBodyBytes(), e.wholeBytes(), bodyDeadline)
 	if err != nil {
 		return gtcall.New(id, r.Method, r.URL.RequestURI()).WithRoute("", route.Name(), class).WithAccount(account.Name()), err
@@ -320,6 +320,22 @@
 	e.Retry.Prune(hasRoute)
 }
 
+// chooseReading returns how the body of a request is read. If it may be for the local backend
+// server, for which it would get no permit now, it is read whole before the request is
+// routed: at that depth of the stack a crowd of such bodies takes less memory.
+func (e *Edge) chooseReading(route gtconfig.Route, r *http.Request, key string) gtstream.Reading {
+	reading := gtstream.Choose(route.Idempotent(r.Method), key != "", r.ContentLength, int64(e.wholeBytes()))
+	if reading == gtstream.Whole || e.LocalBackend == nil {
+		return reading
+	}
+	service := e.LocalBackend.Self().Service()
+	isLocal := slices.ContainsFunc(route.Destinations(), func(d gtconfig.Destination) bool { return d.Service() == service })
+	if isLocal && !e.LocalBackend.MayStream(route.Name()) {
+		return gtstream.Whole
+	}
+	return reading
+}
+
 // wholeBytes returns the size up to which every body is read whole.
 func (e *Edge) wholeBytes() int {
 	if e.WholeBytes == nil {
--- a/io/request/gthop/streamed.go
+++ b/io/request/gthop/streamed.go
@@ -22,6 +22,11 @@
 	return pool.DoStream(ctx, addr, c.Class().PoolName(), req, c.Stream())
 }
 
+// MayStream reports whether a body for this backend server would get a permit now.
+func (b *LocalBackend) MayStream(route string) bool {
+	return b.permits.HasFree(b.Gate.Load(route).Limit())
+}
+
 // permit takes a permit to forward the body of a call in windows, which ends with the body. The
 // returned function ends it in any case. Without a permit the body is read whole, as one whose
 // request may be sent elsewhere if it is refused.
