--- a/io/request/gtedge/edge.go
+++ b/io/request/gtedge/edge.go
@@ -30,6 +30,7 @@
 	"godwittide/core/request/gtretry"
 	"godwittide/core/request/gtroute"
 	"godwittide/core/request/gtsplit"
+	"godwittide/core/request/gtstream"
 	"godwittide/core/version/gtaccount"
 	"godwittide/core/version/gtcanary"
 	"godwittide/core/version/gtconfig"
@@ -60,6 +61,9 @@
 	IDPrefix string
 	// MaxBodyBytes returns the largest request body in bytes.
 	MaxBodyBytes func() int
+	// WholeBytes returns the size up to which every body is read whole; nil means
+	// gtstream.DefaultWholeBytes.
+	WholeBytes func() int
 	// Budget is the budget of bytes that bodies and responses count in; nil means none.
 	Budget *gtbudget.Budget
 	// MaxHops is the largest number of hops in a call chain.
@@ -105,6 +109,9 @@
 	// or nil, and the time that it took. The call is empty, or has only an ID and a
 	// route, if the request was refused before its call was built.
 	OnResponse func(c gtcall.Call, err error, d time.Duration)
+	// OnStreamed is called after each request whose body was forwarded in windows, with the
+	// cause if the body ended early. It may be nil.
+	OnStreamed func(c gtcall.Call, cause gtstream.Cause)
 	// OnRetry is called for each failed attempt that is retried, with its instance
 	// and error, and the number of attempts so far.
 	OnRetry func(c gtcall.Call, instance string, err error, count int)
@@ -144,6 +151,9 @@
 		hold.WriteResponse(w, resp)
 	}
 	entry.SetOutcome(gtinflight.OutcomeOf(err))
+	if c.Stream() != nil && c.Stream().WasForwarded() && e.OnStreamed != nil {
+		e.OnStreamed(c, c.Stream().Cause())
+	}
 }
 
 // origin returns who sent a request, as far as it says so.
@@ -172,6 +182,9 @@
 		return c, gtcall.Response{}, gtkind.New(gtkind.Leaving, "this node shuts down before the deadline of the request")
 	}
 	resp, err := e.dispatch(ctx, cfg, c)
+	if err != nil && c.Stream() != nil {
+		err = c.Stream().Outcome(err)
+	}
 	return c, resp, err
 }
 
@@ -231,7 +244,8 @@
 	bodyTimeout := cmp.Or(route.Timeout(), gtconfig.MaxTimeout)
 	bodyDeadline := start.Add(e.Dialect.ShortenTimeout(r, bodyTimeout))
 	entry.Identify(id, route.Name(), bodyDeadline)
-	body, err := hold.ReadBody(r, entry, e.MaxBodyBytes(), bodyDeadline)
+	reading := e.chooseReading(route, r, key)
+	body, stream, err := hold.OpenBody(r, entry, reading, e.MaxBodyBytes(), e.wholeBytes(), bodyDeadline)
 	if err != nil {
 		return gtcall.New(id, r.Method, r.URL.RequestURI()).WithRoute("", route.Name(), class).WithAccount(account.Name()), err
 	}
@@ -244,6 +258,7 @@
 	return gtcall.New(id, r.Method, r.URL.RequestURI()).
 		WithHeader(header).
 		WithBodySegments(body).
+		WithStream(stream).
 		WithRoute(service, route.Name(), class).
 		WithAccount(account.Name()).
 		WithIdempotent(route.Idempotent(r.Method)).
@@ -305,6 +320,30 @@
 	e.Retry.Prune(hasRoute)
 }
 
+// chooseReading returns how the body of a request is read. If it may be for the local backend
+// server, for which it would get no permit now, it is read whole before the request is
+// routed: at that depth of the stack a crowd of such bodies takes less memory.
+func (e *Edge) chooseReading(route gtconfig.Route, r *http.Request, key string) gtstream.Reading {
+	reading := gtstream.Choose(route.Idempotent(r.Method), key != "", r.ContentLength, int64(e.wholeBytes()))
+	if reading == gtstream.Whole || e.LocalBackend == nil {
+		return reading
+	}
+	service := e.LocalBackend.Self().Service()
+	isLocal := slices.ContainsFunc(route.Destinations(), func(d gtconfig.Destination) bool { return d.Service() == service })
+	if isLocal && !e.LocalBackend.MayStream(route.Name()) {
+		return gtstream.Whole
+	}
+	return reading
+}
+
+// wholeBytes returns the size up to which every body is read whole.
+func (e *Edge) wholeBytes() int {
+	if e.WholeBytes == nil {
+		return gtstream.DefaultWholeBytes
+	}
+	return e.WholeBytes()
+}
+
 // newID returns an ID for a request that has none.
 func (e *Edge) newID() string { return e.IDPrefix + strconv.FormatUint(e.seq.Add(1), 36) }
 
@@ -351,7 +390,7 @@
 			reached++
 		}
 		if !e.Router.CanPick(cfg, others) || !e.shouldRetry(ctx, c, k, count, reached) {
-			if k != gtkind.Leaving || c.IsLastAttempt() || ctx.Err() != nil {
+			if k != gtkind.Leaving || c.IsLastAttempt() || ctx.Err() != nil || !c.CanBeSentAgain() {
 				return resp, err
 			}
 			tried, c = tried[:len(tried)-1], c.WithLastAttempt(true)
@@ -369,7 +408,7 @@
 }
 
 func (e *Edge) shouldRetry(ctx context.Context, c gtcall.Call, k gtkind.Kind, count, reached int) bool {
-	if ctx.Err() != nil || e.Crashes.IsBlocked(c.Fingerprint()) {
+	if ctx.Err() != nil || !c.CanBeSentAgain() || e.Crashes.IsBlocked(c.Fingerprint()) {
 		return false
 	}
 	return e.Retry.ShouldRetry(e.failedAttempt(c, k, count, reached))
@@ -445,7 +484,7 @@
 	}
 	e.recordOutcome(c, to, resp, k, d)
 	if k == gtkind.None {
-		e.Retry.RecordDuration(c.Route(), d)
+		e.Retry.RecordDuration(c.Route(), d-c.Stream().Waited())
 	}
 	if k == gtkind.Crashed && to.Instance() != e.Self {
 		e.OnCrash(gtdedup.NewCrash(c.Fingerprint(), c.Crashes()+1, !c.Idempotent(), e.Now().Add(gtdedup.CrashWindow)))
--- a/io/request/gthop/handler.go
+++ b/io/request/gthop/handler.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -16,6 +17,8 @@
 	"godwittide/core/request/gtdedup"
 	"godwittide/core/request/gtinflight"
 	"godwittide/core/request/gtkind"
+	"godwittide/core/request/gtstream"
+	"godwittide/core/version/gtconfig"
 	"godwittide/io/connection/gtpool"
 )
 
@@ -35,6 +38,9 @@
 	// PausedSince reports whether this process was paused at any time after since;
 	// nil means that no pauses are detected.
 	PausedSince func(since time.Time) bool
+	// OnStreamed is called after each call whose body came in windows, with the cause if the
+	// body ended early. It may be nil.
+	OnStreamed func(c gtcall.Call, cause gtstream.Cause)
 	// Requests holds the requests in flight; nil means that they aren't recorded.
 	Requests *gtinflight.Table
 
@@ -71,6 +77,9 @@
 		hold.WriteResponse(w, resp)
 	}
 	entry.SetOutcome(gtinflight.OutcomeOf(err))
+	if hold.stream != nil && hold.stream.WasForwarded() && h.OnStreamed != nil {
+		h.OnStreamed(gtcall.New(meta[metaID], r.Method, r.URL.RequestURI()).WithRoute(meta[metaService], meta[metaRoute], gtconfig.ParseClass(meta[metaClass])), hold.stream.Cause())
+	}
 }
 
 // setMeta sets the header fields by which a peer learns of the response and of the
@@ -113,9 +122,13 @@
 		return gtcall.Response{}, gtkind.New(gtkind.Refused, "this is instance %s, the request is addressed to %.64q", self, instance)
 	}
 	entry := gtinflight.FromContext(ctx)
-	body, err := hold.ReadBody(r, entry, h.MaxBodyBytes(), time.Time{})
-	if err != nil {
-		return gtcall.Response{}, err
+	inWindows := strings.Contains(meta[metaFlags], flagWindows)
+	var body [][]byte
+	var err error
+	if !inWindows {
+		if body, err = hold.ReadBody(r, entry, h.MaxBodyBytes(), time.Time{}); err != nil {
+			return gtcall.Response{}, err
+		}
 	}
 	now := h.Timer.Time()
 	c, err := decodeCall(r, meta, body, now)
@@ -131,8 +144,16 @@
 		h.LocalBackend.Crashes.Merge(gtdedup.NewCrash(c.Fingerprint(), c.Crashes(), !c.Idempotent(), now.Add(gtdedup.CrashWindow)))
 	}
 	c.Header().Set("Host", r.Host)
-	stop := h.startKeepAlive(c.ID(), w)
+	ka, stop := h.startKeepAlive(c.ID(), w)
 	defer stop()
+	if inWindows {
+		stream, err := hold.OpenPeerBody(r, entry, h.MaxBodyBytes(), c.Deadline())
+		if err != nil {
+			return gtcall.Response{}, err
+		}
+		stream.Begin = ka.askForBody
+		c = c.WithStream(stream)
+	}
 	return h.LocalBackend.Run(ctx, c)
 }
 
@@ -174,10 +195,10 @@
 
 // startKeepAlive registers a call for keep-alives. The function that it returns
 // stops them, and must be called before the response is written.
-func (h *Handler) startKeepAlive(id string, w http.ResponseWriter) func() {
+func (h *Handler) startKeepAlive(id string, w http.ResponseWriter) (*keepAlive, func()) {
 	ka := &keepAlive{w: w, start: h.Timer.Time()}
 	h.keepAlives.Do(id, func(m map[string]*keepAlive) { m[id] = ka })
-	return func() {
+	return ka, func() {
 		h.keepAlives.Do(id, func(m map[string]*keepAlive) {
 			if m[id] == ka {
 				delete(m, id)
--- a/io/request/gthop/localbackend.go
+++ b/io/request/gthop/localbackend.go
@@ -13,6 +13,7 @@
 	"godwittide/core/request/gtinflight"
 	"godwittide/core/request/gtkind"
 	"godwittide/core/request/gtroute"
+	"godwittide/core/request/gtstream"
 	"godwittide/core/version/gtcanary"
 	"godwittide/io/connection/gtpool"
 )
@@ -88,6 +89,7 @@
 	Trace func(ctx context.Context, name string, h http.Header) (context.Context, func(error))
 
 	running atomic.Int64
+	permits gtstream.Permits
 }
 
 // Load returns the load of the backend server, with what was learned of it for a route.
@@ -117,6 +119,13 @@
 	if b.Crashes.IsBlocked(c.Fingerprint()) {
 		return gtcall.Response{}, BlockedError(c)
 	}
+	if c.Stream() != nil {
+		release, err := b.permit(c)
+		if err != nil {
+			return gtcall.Response{}, err
+		}
+		defer release()
+	}
 	if c.Key() == "" || c.Idempotent() {
 		return b.admit(ctx, c, func(gtcall.Response, error) {})
 	}
@@ -277,7 +286,7 @@
 	concurrency := int(b.running.Add(1))
 	var status int
 	finish := func(err error) {
-		latency := b.Now().Sub(start)
+		latency := b.Now().Sub(start) - c.Stream().Waited()
 		b.running.Add(-1)
 		result := admissionResult(status, err)
 		release(c, ticket, latency, result, err)
@@ -292,9 +301,12 @@
 	if b.OnBegin != nil {
 		notRun = b.OnBegin(c)
 	}
-	ctx, giveUp := context.WithCancel(ctx)
+ctx, giveUp := context.WithCancel(ctx)
+	if c.Stream() != nil {
+		giveUp = nil // the body may wait for its sender
+	}
 	ticket.Sent(c.Route(), giveUp)
-	httpResp, err := b.Pool.Do(ctx, b.Address, c.Class().PoolName(), req, c.Idempotent())
+	httpResp, err := b.send(ctx, c, req)
 	if err == nil && !ticket.Responded() {
 		// The exchange has been interrupted, so that the body would be cut off.
 		gtpool.Discard(httpResp)
