gtnode: the same bounds on every listener, from one place, with log lines and metrics

Cause: connections for each address were bounded for callers only. One address could take all connections of the admin, ready and control addresses, and any number of those for nodes and control links. On admin, ready and control, and for nodes with TLS, the lines of a head were bounded for the first head of a connection at most. No limit on connections or heads left a trace.

Change: bounds.go has the bounds of all listeners. limit.hop and limit.peer bound the connections of other nodes from one address, by default twice what one node opens; connections from the machine itself and behind a relay are excepted, as any number of nodes may share these addresses. Heads are bounded above TLS, each head of a connection. Each limit is counted in limited{limit,listener} and logged as "node: limit reached", one line a second.

--- a/io/connection/gtpeer/link.go
+++ b/io/connection/gtpeer/link.go
@@ -32,6 +32,7 @@
 
 	"godwittide/core/connection/gtlink"
 	"godwittide/core/process/gttimer"
+	"godwittide/io/connection/gtsocket"
 )
 
 const (
@@ -40,6 +41,8 @@
 	// maxFirstMessageBytes is the same for the first message, by which the peer names
 	// itself.
 	maxFirstMessageBytes = 64 << 10
+	// limitMessageBytes names these limits in reports, like the size of a head on other listeners.
+	limitMessageBytes = "head"
 	// sendQueueLength is the capacity of the send queue, in messages.
 	sendQueueLength = 512
 	// writeTimeout is the timeout for writing one message.
@@ -207,6 +210,7 @@
 		limit = maxFirstMessageBytes
 	}
 	if n > limit {
+		gtsocket.ReportLimit(s.link.Conn, limitMessageBytes, int64(limit))
 		return errorx.IllegalFormat.New("received message of %d bytes exceeds the limit of %d bytes", n, limit)
 	}
 	b, err := readBytes(s.r, int(n))
--- a/io/connection/gtsocket/socket.go
+++ b/io/connection/gtsocket/socket.go
@@ -130,6 +130,14 @@
 	}
 }
 
+// ReportLimit reports that a limit of the given value has acted on a connection, if its listener
+// takes such reports.
+func ReportLimit(c net.Conn, limit string, value int64) {
+	if r, ok := c.(interface{ ReportLimit(string, int64) }); ok {
+		r.ReportLimit(limit, value)
+	}
+}
+
 // CallerLeft reports whether the context has ended, or the caller of its request has
 // closed the connection.
 func CallerLeft(ctx context.Context) bool {
--- a/io/process/gtnode/admin.go
+++ b/io/process/gtnode/admin.go
@@ -188,6 +188,7 @@
 	n.scope.Gauge("limit").Update(float64(s.Limit))
 	n.scope.Gauge("busy").Update(float64(s.Busy))
 	n.updatePipelineMetrics()
+	n.updateLimitMetrics()
 	n.scope.Gauge("refused").Update(float64(n.gate.Refused()))
 	n.scope.Gauge("control_sent_bytes").Update(float64(s.ControlBytesSent))
 	n.scope.Gauge("control_received_bytes").Update(float64(s.ControlBytesReceived))
--- a/io/process/gtnode/conns.go
+++ b/io/process/gtnode/conns.go
@@ -1,16 +1,16 @@
 package gtnode
 
 import (
-	"context"
+	"errors"
 	"net"
+	"net/netip"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
 	"golang.org/x/sys/unix"
-
-	"godwittide/io/connection/gtsocket"
 )
 
 const (
@@ -54,12 +54,6 @@
 	return false
 }
 
-// LimitListener returns a listener that closes connections beyond maxConns, and those whose
-// heads have too many lines.
-func LimitListener(ln net.Listener, maxConns int) net.Listener {
-	return &limitListener{Listener: ln, maxConns: fixedLimit(maxConns), guardsHeads: true}
-}
-
 // fixedLimit returns a limit that does not change while the node runs.
 func fixedLimit(n int) func() int64 { return func() int64 { return int64(n) } }
 
@@ -71,8 +65,19 @@
 	maxConns func() int64
 	// maxPerAddress is the limit for each address; 0 means none.
 	maxPerAddress int
+	// sparesOwn excepts connections from the machine itself from maxPerAddress, as any number of
+	// nodes may run there.
+	sparesOwn bool
 	// guardsHeads bounds the lines of the heads of HTTP requests.
 	guardsHeads bool
+	// maxHeadBytes is the size of a head that the server of the listener refuses; 0 means that
+	// its refusals are not reported.
+	maxHeadBytes int64
+	// headTime is the time that the server of the listener allows for a head.
+	headTime time.Duration
+	// report is called when a limit acts on a connection of an address. Nil means that this is
+	// not reported.
+	report func(limit, address string, value int64)
 	// silentTimeout is how long a connection may stay open before its first byte; 0 means
 	// until the read deadline that its server sets. A client may open connections before
 	// it has requests for them. One that is closed just as its first request comes fails
@@ -101,32 +106,68 @@
 // add counts a connection, and returns the address that it counts for.
 func (l *limitListener) add(conn net.Conn) (string, bool) {
 	if !openConnections.add() {
+		l.reportLimit(conn, limitDescriptors, openConnections.max)
 		return "", false
 	}
-	if l.open.Add(1) > l.maxConns() {
+	if limit := l.maxConns(); l.open.Add(1) > limit {
 		l.open.Add(-1)
 		openConnections.open.Add(-1)
+		l.reportLimit(conn, limitConnections, limit)
 		return "", false
 	}
 	if l.maxPerAddress == 0 {
 		return "", true
 	}
-	address, _, err := net.SplitHostPort(conn.RemoteAddr().String())
-	if err != nil {
+	address, ok := addressOf(conn)
+	if !ok || l.sparesOwn && isOwnMachine(conn, address) {
 		return "", true
 	}
+	if !l.addAddress(address) {
+		l.open.Add(-1)
+		openConnections.open.Add(-1)
+		l.reportLimit(conn, limitAddress, int64(l.maxPerAddress))
+		return "", false
+	}
+	return address, true
+}
+
+// addAddress counts a connection for its address, and reports whether it is within the limit.
+func (l *limitListener) addAddress(address string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.addresses == nil {
 		l.addresses = map[string]int{}
 	}
 	if l.addresses[address] >= l.maxPerAddress {
-		l.open.Add(-1)
-		openConnections.open.Add(-1)
-		return "", false
+		return false
 	}
 	l.addresses[address]++
-	return address, true
+	return true
+}
+
+// addressOf returns the IP address of the other end of a connection.
+func addressOf(conn net.Conn) (string, bool) {
+	address, _, err := net.SplitHostPort(conn.RemoteAddr().String())
+	return address, err == nil
+}
+
+// isOwnMachine reports whether a connection from an address comes from the machine itself.
+func isOwnMachine(conn net.Conn, address string) bool {
+	own, _, err := net.SplitHostPort(conn.LocalAddr().String())
+	ip, parseErr := netip.ParseAddr(address)
+	return err == nil && own == address || parseErr == nil && ip.Unmap().IsLoopback()
+}
+
+// reportLimit reports that a limit has acted on a connection.
+func (l *limitListener) reportLimit(conn net.Conn, limit string, value int64) {
+	if l.report == nil {
+		return
+	}
+	address, ok := addressOf(conn)
+	if !ok {
+		address = conn.RemoteAddr().String()
+	}
+	l.report(limit, address, value)
 }
 
 func (l *limitListener) remove(address string) {
@@ -169,9 +210,23 @@
 			return 0, errHead
 		}
 	}
+	if err != nil && errors.Is(err, os.ErrDeadlineExceeded) && c.isInHead() {
+		c.head.isLate = true
+		c.ReportLimit(limitHeadTime, c.listener.headTime.Milliseconds())
+	}
 	return n, err
 }
 
+// isInHead reports whether a part of a head has been received, whose time has not ended yet.
+func (c *limitConn) isInHead() bool {
+	return c.listener.guardsHeads && !c.restart.Load() && !c.inBody.Load() && c.head.bytes > 0 && !c.head.isComplete && !c.head.isLate
+}
+
+// ReportLimit reports that a limit has acted on the connection.
+func (c *limitConn) ReportLimit(limit string, value int64) {
+	c.listener.reportLimit(c.Conn, limit, value)
+}
+
 // SetReadDeadline sets the read deadline. Before the first byte, the time until then begins
 // with that byte, which has to come within the listener's silentTimeout.
 func (c *limitConn) SetReadDeadline(t time.Time) error {
@@ -183,21 +238,27 @@
 	return c.Conn.SetReadDeadline(time.Now().Add(max(left, c.listener.silentTimeout)))
 }
 
+// checkHead counts the lines of the head in b, and reports whether it is within its bounds. Its
+// size is bounded by the HTTP server, which refuses it once as much has been received.
 func (c *limitConn) checkHead(b []byte) bool {
 	if c.restart.Swap(false) {
 		c.head = headLines{}
 		c.inBody.Store(false)
 	}
-	return c.inBody.Load() || c.head.add(b)
-}
-
-// endHead tells that the head of a request is complete on the connection of its context. It may
-// have been read together with the request before it.
-func endHead(ctx context.Context) {
-	if c, ok := gtsocket.Conn(ctx).(*limitConn); ok {
-		c.restart.Store(false)
-		c.inBody.Store(true)
+	if c.inBody.Load() || c.head.isComplete {
+		return true
+	}
+	before := c.head.bytes
+	ok := c.head.add(b)
+	switch limit := c.listener.maxHeadBytes; {
+	case !ok && c.head.empty > maxEmptyLines:
+		c.ReportLimit(limitEmptyLines, maxEmptyLines)
+	case !ok:
+		c.ReportLimit(limitHeadLines, maxHeadLines)
+	case limit > 0 && !c.head.isComplete && before < limit+headSlack && c.head.bytes >= limit+headSlack:
+		c.ReportLimit(limitHeadBytes, limit)
 	}
+	return ok
 }
 
 // hasReceived reports whether bytes have been received since the last call of
@@ -228,7 +289,8 @@
 // headLines counts the lines of a head as it arrives.
 type headLines struct {
 	lines, empty, length int
-	isComplete           bool
+	bytes                int64
+	isComplete, isLate   bool
 }
 
 // add counts the lines in b, and reports whether the head is within its bounds so far.
@@ -236,6 +298,7 @@
 	if h.isComplete {
 		return true
 	}
+	h.bytes += int64(len(b))
 	for _, c := range b {
 		switch {
 		case c == '\r':
--- a/io/process/gtnode/conns_test.go
+++ b/io/process/gtnode/conns_test.go
@@ -96,7 +96,7 @@
 	}))
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	go func() { _ = server.Serve(LimitListener(ln, 10)) }()
+	go func() { _ = server.Serve(&limitListener{Listener: ln, maxConns: fixedLimit(10), guardsHeads: true}) }()
 	defer server.Close()
 	c, err := net.Dial("tcp", ln.Addr().String())
 	g.Expect(err).NotTo(gomega.HaveOccurred())
--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -161,6 +161,7 @@
 	accounts       gtaccountstats.Stats
 	servers        servers
 	pipelines      pipelines
+	limits         limitReports
 	backend        backendState
 	departures     departures
 	reload         reloader
--- a/io/process/gtnode/serve.go
+++ b/io/process/gtnode/serve.go
@@ -95,12 +95,13 @@
 		}
 		if p.out == &l.hop {
 			l.hopSocket = ln
-			// Below TLS the heads can't be seen, but there each node has a certificate.
-			ln = &limitListener{Listener: ln, maxConns: fixedLimit(n.Settings.Limit.MaxNodeConnections), guardsHeads: n.credentials == nil}
 		}
 		if p.secure && n.credentials != nil {
 			ln = tls.NewListener(ln, n.credentials.Config())
 		}
+		if p.out == &l.hop { // above TLS, below which the heads can't be seen
+			ln = n.bound(listenerHop, ln, fixedLimit(n.Settings.Limit.MaxNodeConnections))
+		}
 		*p.out = ln
 	}
 	return l, nil
@@ -164,7 +165,8 @@
 	edgeHandler = n.servers.edgeConns.closeWhen(n.drain.Begun, edgeHandler)
 	n.servers.edge = n.newServer(edgeHandler)
 	n.servers.hop = n.newServer(n.servers.hopConns.closeWhen(n.drain.LingerEnded, n.hopHandler))
-	n.servers.admin = n.newServer(n.adminHandler())
+	admin, serveAdmin := n.Serve(listenerAdmin, l.admin, n.Settings.Limit.MaxAdminConnections, n.adminHandler())
+	n.servers.admin = admin
 	n.servers.listeners = l
 	n.servers.edge.ConnState, n.servers.hop.ConnState = n.servers.edgeConns.trackState, n.servers.hopConns.trackState
 	n.servers.hopConns.notice = closeNotice
@@ -173,24 +175,27 @@
 	}
 	n.servers.edge.ConnContext, n.servers.hop.ConnContext = gtsocket.WithConn, gtsocket.WithConn
 	limit := n.Settings.Limit
-	edge := &limitListener{Listener: l.edge, maxConns: n.maxCallerConns, maxPerAddress: limit.MaxAddressConnections, guardsHeads: true, silentTimeout: idleTimeout}
-	admin := LimitListener(l.admin, limit.MaxAdminConnections)
-	if n.Settings.Limit.Pipeline > 1 {
+	edge := n.bound(listenerEdge, l.edge, n.maxCallerConns)
+	edge.silentTimeout = idleTimeout
+	if limit.Pipeline > 1 {
 		n.servePipelining(edge, edgeHandler)
 	}
-	for _, s := range []struct {
-		server *http.Server
-		ln     net.Listener
-	}{{n.servers.edge, edge}, {n.servers.hop, l.hop}, {n.servers.admin, admin}} {
-		s.server.ErrorLog = debugLogger(n.Log)
+	n.servers.edge.ErrorLog, n.servers.hop.ErrorLog = debugLogger(n.Log), debugLogger(n.Log)
+	for _, serve := range []func() error{
+		func() error { return n.servers.edge.Serve(edge) },
+		func() error { return n.servers.hop.Serve(l.hop) },
+		serveAdmin,
+	} {
 		n.wg.Go(func() {
-			if err := s.server.Serve(s.ln); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+			if err := serve(); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				n.Log.Error().Err(err).Msg("node: HTTP server failed")
 			}
 		})
 	}
 	n.wg.Go(func() {
-		n.acceptPeers(ctx, &limitListener{Listener: l.peer, maxConns: fixedLimit(maxPeerConns)})
+		peer := n.bound(listenerPeer, l.peer, fixedLimit(maxPeerConns))
+		peer.guardsHeads = false // control links have messages; gtpeer bounds the first one
+		n.acceptPeers(ctx, peer)
 	})
 }
 
--- a/io/process/gtoverlay/connect.go
+++ b/io/process/gtoverlay/connect.go
@@ -13,6 +13,7 @@
 	"godwittide/core/process/gtmember"
 	"godwittide/core/process/gtshard"
 	"godwittide/io/connection/gtpeer"
+	"godwittide/io/connection/gtsocket"
 	"godwittide/io/connection/gtwire"
 )
 
@@ -22,6 +23,8 @@
 	// helloTimeout bounds the exchange of hello messages on it. It is longer than
 	// dialTimeout, since a member that accepts the connection may only be slow.
 	helloTimeout = gtlink.HeartbeatTimeout
+	// limitHelloTime names it in reports, like the time for a head on other listeners.
+	limitHelloTime = "slow"
 )
 
 // maxAlternatives is the maximum number of other members that a node names when
@@ -145,6 +148,7 @@
 		select {
 		case <-helloTimer.C():
 			if _, ok := o.links.Get(pl.key()); !ok {
+				gtsocket.ReportLimit(conn, limitHelloTime, helloTimeout.Milliseconds())
 				l.Close()
 			}
 		case <-l.Done():
--- a/io/process/gtsettings/settings.go
+++ b/io/process/gtsettings/settings.go
@@ -145,6 +145,11 @@
 	// MaxAddressConnections is the maximum number of those from one address. 0 means that
 	// MaxCallerConnections is the only limit, as where all callers have the same address.
 	MaxAddressConnections int `toml:"address"`
+	// MaxHopConnections is the maximum number of connections for requests of other nodes from one
+	// address, MaxPeerConnections that of control links. 0 means what one node opens, with room
+	// for a restart of it, except from the machine itself or behind a relay.
+	MaxHopConnections  int `toml:"hop"`
+	MaxPeerConnections int `toml:"peer"`
 	// MaxNodeConnections is the maximum number of connections for requests of other nodes.
 	MaxNodeConnections int `toml:"nodes"`
 	// MaxAdminConnections is the maximum number of connections to the admin address.
@@ -339,6 +344,8 @@
 		{"limit.hops", s.Limit.MaxHops, 1, 64},
 		{"limit.callers", s.Limit.MaxCallerConnections, 1, 1 << 20},
 		{"limit.address", s.Limit.MaxAddressConnections, 0, 1 << 20},
+		{"limit.hop", s.Limit.MaxHopConnections, 0, 1 << 20},
+		{"limit.peer", s.Limit.MaxPeerConnections, 0, 1 << 20},
 		{"limit.nodes", s.Limit.MaxNodeConnections, 1, 1 << 20},
 		{"limit.admin", s.Limit.MaxAdminConnections, 1, 1 << 20},
 		{"limit.memory", s.Limit.MemoryBytes, 1 << 20, 1 << 40},
--- a/test/untrusted/node_test.go
+++ b/test/untrusted/node_test.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -142,8 +143,10 @@
 	return startNodeWith(t, bodyBytes, budgetBytes)
 }
 
-// startNodeWith starts a node with the given limit.body and limit.memory.
-func startNodeWith(t *testing.T, maxBody, budget int) node {
+// startNodeWith starts a node with the given limit.body and limit.memory, and further settings of
+// the section limit, such as "hop = 20". A program from before a setting is started without it and
+// held to the same bounds.
+func startNodeWith(t *testing.T, maxBody, budget int, limits ...string) node {
 	t.Helper()
 	dir, err := build()
 	if err != nil {
@@ -152,14 +155,16 @@
 	const anyPort = "127.0.0.1:0"
 	store := start(t, dir, "godwitstand", "store", "--listen", anyPort).waitFor(t, `store listens on ([^; ]+);`)[0]
 	backend := start(t, dir, "godwitstand", "backend", "--listen", anyPort, "--name", "a1").waitFor(t, `listens on ([^; ]+);`)[0]
-	memory := fmt.Sprintf("memory = %d\n", budget)
+	limits = append(limits, fmt.Sprintf("memory = %d", budget))
 	sample, err := exec.Command(filepath.Join(dir, "godwittide"), "node", "--sample").Output()
 	if err != nil {
 		t.Fatal(err)
 	}
-	if !bytes.Contains(sample, []byte("memory =")) {
-		memory = "" // a program from before the setting, which is held to the same bound
-	}
+	limits = slices.DeleteFunc(limits, func(line string) bool {
+		key, _, _ := strings.Cut(line, " ")
+		_, known, _ := bytes.Cut(sample, []byte("[limit]"))
+		return !bytes.Contains(known, []byte("\n# "+key+" ="))
+	})
 	text := fmt.Sprintf(`
 [node]
 instance = "a1"
@@ -177,7 +182,8 @@
 endpoint = "http://%[3]s"
 [limit]
 body = %[4]d
-%[5]s`, anyPort, backend, store, maxBody, memory)
+%[5]s
+`, anyPort, backend, store, maxBody, strings.Join(limits, "\n"))
 	file := filepath.Join(t.TempDir(), "a1.toml")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
