gthop: disconnect callers that don't read while memory isn't short

Cause: a caller that stops reading a large response held its slot at the backend server for ever once its spool (a quarter of the budget) was full, also beyond the deadline of the request, as nothing read or closed the stream.

Change: while the spool is full, a caller that takes less than 4 KB in 10 s is disconnected. Taken is what its machine acknowledges (TCP_INFO). Other nodes get 5 minutes, as they take no more than their caller, whom they disconnect themselves.

--- a/io/connection/gtsocket/socket.go
+++ b/io/connection/gtsocket/socket.go
@@ -130,6 +130,41 @@
 	}
 }
 
+// Delivery is how far what was written to a connection has been delivered.
+type Delivery struct {
+	acknowledged int64
+	pending      bool
+}
+
+// Acknowledged returns the number of bytes that the other end has acknowledged.
+func (d Delivery) Acknowledged() int64 { return d.acknowledged }
+
+// IsPending reports whether written bytes have not been acknowledged yet.
+func (d Delivery) IsPending() bool { return d.pending }
+
+// DeliveryOf returns how far what was written to a connection has been delivered. It returns
+// false if the connection is not a TCP socket.
+func DeliveryOf(c net.Conn) (Delivery, bool) {
+	if c == nil {
+		return Delivery{}, false
+	}
+	sc, ok := socket(c)
+	if !ok {
+		return Delivery{}, false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return Delivery{}, false
+	}
+	var info *unix.TCPInfo
+	var infoErr error
+	err = raw.Control(func(fd uintptr) { info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	if err != nil || infoErr != nil {
+		return Delivery{}, false
+	}
+	return Delivery{acknowledged: int64(info.Bytes_acked), pending: info.Unacked > 0 || info.Notsent_bytes > 0}, true
+}
+
 // ReportLimit reports that a limit of the given value has acted on a connection, if its listener
 // takes such reports.
 func ReportLimit(c net.Conn, limit string, value int64) {
--- a/io/request/gthop/handler.go
+++ b/io/request/gthop/handler.go
@@ -60,6 +60,7 @@
 	}
 	entry.Identify(meta[metaID], meta[metaRoute], time.Time{})
 	hold := NewHold(h.Budget, r)
+	hold.readTime = peerReadTime
 	defer hold.Leave()
 	resp, err := h.serve(gtinflight.NewContext(r.Context(), entry), w, r, meta, hold)
 	entry.MoveTo(gtinflight.Writing, "")
--- a/io/request/gthop/hold.go
+++ b/io/request/gthop/hold.go
@@ -36,10 +36,14 @@
 	ctx    context.Context // of the request, for its connection
 	body   *gtbudget.Holder
 	waited bool // for room, while the body was read
+	// readTime is the time in which the receiver of the response takes minReadBytes at least.
+	readTime time.Duration
 }
 
 // NewHold returns the hold of a request. A nil budget has no bound.
-func NewHold(b *gtbudget.Budget, r *http.Request) *Hold { return &Hold{budget: b, ctx: r.Context()} }
+func NewHold(b *gtbudget.Budget, r *http.Request) *Hold {
+	return &Hold{budget: b, ctx: r.Context(), readTime: callerReadTime}
+}
 
 // Leave gives everything back. Further calls have no effect.
 func (h *Hold) Leave() { h.body.Leave() }
@@ -64,7 +68,10 @@
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
-	h.body = h.budget.Join(func() { gtsocket.InterruptRead(r.Context()) })
+	h.body = h.budget.Join(func() {
+		h.reportDrop()
+		gtsocket.InterruptRead(r.Context())
+	})
 	stopped := make(chan struct{})
 	stop := sync.OnceFunc(func() { close(stopped) })
 	entry.BeginReading(func() {
--- a/io/request/gthop/spool.go
+++ b/io/request/gthop/spool.go
@@ -1,6 +1,7 @@
 package gthop
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -43,10 +44,17 @@
 	w.WriteHeader(resp.Status())
 	var holder *gtbudget.Holder
 	interrupt, spoolBytes := func() {}, defaultSpoolBytes
-	if h != nil && h.budget != nil {
-		spoolBytes = int(h.budget.Bytes / spoolShare)
+	reader := progress{ctx: context.Background(), readTime: callerReadTime, bufferTime: bufferTime}
+	if h != nil {
 		interrupt = func() { gtsocket.InterruptWrite(h.ctx) }
-		holder = h.budget.JoinResponse(interrupt)
+		reader.ctx, reader.readTime = h.ctx, h.readTime
+	}
+	if h != nil && h.budget != nil {
+		spoolBytes, reader.budgetBytes = int(h.budget.Bytes/spoolShare), h.budget.Bytes
+		holder = h.budget.JoinResponse(func() {
+			h.reportDrop()
+			interrupt()
+		})
 		defer holder.Leave()
 	}
 	if resp.Stream() == nil {
@@ -57,7 +65,7 @@
 	if resp.Stream() == http.NoBody {
 		return
 	}
-	s := &spool{maxBytes: spoolBytes, stream: resp.Stream(), holder: holder, interrupt: interrupt, changed: make(chan struct{}, 1), room: make(chan struct{}, 1), stopped: make(chan struct{})}
+	s := &spool{reader: reader, maxBytes: spoolBytes, stream: resp.Stream(), holder: holder, interrupt: interrupt, changed: make(chan struct{}, 1), room: make(chan struct{}, 1), stopped: make(chan struct{})}
 	if !s.copyTo(w) {
 		panic(http.ErrAbortHandler)
 	}
@@ -66,6 +74,7 @@
 // spool keeps what has been read of a stream until it is written, so that a receiver that
 // takes the response slowly does not hold the slot at the backend server.
 type spool struct {
+	reader    progress // used by the goroutine that reads
 	maxBytes  int
 	stream    io.ReadCloser
 	holder    *gtbudget.Holder
@@ -74,10 +83,11 @@
 	room      chan struct{} // gets a value when a piece has been written
 	stopped   chan struct{} // closed when nothing more is written
 
-	mu     sync.Mutex
-	pieces [][]byte
-	kept   int // bytes in pieces, and in the one that is being written
-	err    error
+	mu      sync.Mutex
+	pieces  [][]byte
+	kept    int // bytes in pieces, and in the one that is being written
+	written int64
+	err     error
 }
 
 // copyTo writes the stream to w, which it flushes after each piece, so that the receiver gets
@@ -104,6 +114,7 @@
 		s.holder.Release(int64(cap(piece)))
 		s.mu.Lock()
 		s.kept -= cap(piece)
+		s.written += int64(len(piece))
 		s.mu.Unlock()
 		notify(s.room)
 	}
@@ -167,21 +178,43 @@
 	notify(s.changed)
 }
 
+// reportDrop reports that the budget has dropped a body or a response.
+func (h *Hold) reportDrop() {
+	gtsocket.ReportLimit(gtsocket.Conn(h.ctx), limitMemory, h.budget.Bytes)
+}
+
+// disconnectSlow disconnects a receiver that takes less of its response than it has to while the
+// spool is full, so that it does not hold the slot at the backend server. It reports whether it
+// did so.
+func (s *spool) disconnectSlow(written int64) bool {
+	if !s.reader.isStalled(time.Now(), written) {
+		return false
+	}
+	gtsocket.ReportLimit(gtsocket.Conn(s.reader.ctx), limitReader, s.reader.readTime.Milliseconds())
+	s.interrupt()
+	return true
+}
+
 // awaitRoom reserves the next piece. It reports whether there is one to be read: the receiver is
-// disconnected if it takes nothing while the budget has no room.
+// disconnected if it takes nothing while the budget has no room, or less than it has to while the
+// spool is full.
 func (s *spool) awaitRoom() bool {
 	ticker := time.NewTicker(roomPeriod)
 	defer ticker.Stop()
-	deadline := time.Now().Add(stallTime)
+	var shortSince time.Time // since when the budget has had no room; zero: it has
+	s.reader.mark = time.Time{}
 	for {
 		s.mu.Lock()
-		isEmpty, isFull := s.kept == 0, s.kept+spoolReadBytes > s.maxBytes
+		isEmpty, isFull, written := s.kept == 0, s.kept+spoolReadBytes > s.maxBytes, s.written
 		s.mu.Unlock()
 		switch {
-		case isFull && !s.holder.IsDropped():
-			deadline = time.Now().Add(stallTime)
 		case s.holder.IsDropped():
 			return false
+		case isFull:
+			shortSince = time.Time{}
+			if s.disconnectSlow(written) {
+				return false
+			}
 		case isEmpty: // as the writer needs one piece at least
 			s.holder.Charge(spoolReadBytes)
 			return true
@@ -193,17 +226,22 @@
 				return false
 			default:
 			}
+			now := time.Now()
+			if shortSince.IsZero() {
+				shortSince = now
+			}
+			if now.Sub(shortSince) >= stallTime {
+				gtsocket.ReportLimit(gtsocket.Conn(s.reader.ctx), limitMemory, s.reader.budgetBytes)
+				s.interrupt()
+				return false
+			}
 		}
 		select {
 		case <-s.stopped:
 			return false
 		case <-s.room:
-			deadline = time.Now().Add(stallTime)
+			shortSince = time.Time{}
 		case <-ticker.C:
-			if !time.Now().Before(deadline) {
-				s.interrupt()
-				return false
-			}
 		}
 	}
 }
--- a/test/untrusted/node_test.go
+++ b/test/untrusted/node_test.go
@@ -54,6 +54,11 @@
 [route.hold]
 service = "lending"
 path = "/lending"
+
+[route.long]
+service = "lending"
+path = "/lending/long"
+timeout = "5m"
 `
 
 // process is a program that a test has started.
@@ -144,7 +149,7 @@
 }
 
 // startNodeWith starts a node with the given limit.body and limit.memory, and further settings of
-// the section limit, such as "hop = 20". A program from before a setting is started without it and
+// the section limit, such as "hop = 20", or of backend, such as "backend.slots = 2". A program from before a setting is started without it and
 // held to the same bounds.
 func startNodeWith(t *testing.T, maxBody, budget int, limits ...string) node {
 	t.Helper()
@@ -155,6 +160,14 @@
 	const anyPort = "127.0.0.1:0"
 	store := start(t, dir, "godwitstand", "store", "--listen", anyPort).waitFor(t, `store listens on ([^; ]+);`)[0]
 	backend := start(t, dir, "godwitstand", "backend", "--listen", anyPort, "--name", "a1").waitFor(t, `listens on ([^; ]+);`)[0]
+	var backendLines []string
+	limits = slices.DeleteFunc(limits, func(line string) bool {
+		rest, ok := strings.CutPrefix(line, "backend.")
+		if ok {
+			backendLines = append(backendLines, rest)
+		}
+		return ok
+	})
 	limits = append(limits, fmt.Sprintf("memory = %d", budget))
 	sample, err := exec.Command(filepath.Join(dir, "godwittide"), "node", "--sample").Output()
 	if err != nil {
@@ -178,12 +191,13 @@
 address = %[2]q
 service = "lending"
 version = "1"
+%[6]s
 [store]
 endpoint = "http://%[3]s"
 [limit]
 body = %[4]d
 %[5]s
-`, anyPort, backend, store, maxBody, strings.Join(limits, "\n"))
+`, anyPort, backend, store, maxBody, strings.Join(limits, "\n"), strings.Join(backendLines, "\n"))
 	file := filepath.Join(t.TempDir(), "a1.toml")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
