gtbudget: count heads, buffered responses as they are read, and pool buffers

Cause: these came on top of limit.memory, so that a node held more than its budget says.

Change: Budget.Hold counts what is held already, by one atomic counter. The head of a request counts while it is served, a buffered response while it is read from its server, a pooled connection 8 KiB. They narrow what bodies and streams may reserve, by three eighths of the budget at most: otherwise some thousand idle connections on a machine with 112 MB would keep out bodies within the limits.

--- a/core/process/gtbudget/budget.go
+++ b/core/process/gtbudget/budget.go
@@ -20,6 +20,7 @@
 	"cmp"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -33,6 +34,9 @@
 	// a response finds no room it holds a slot at its backend server; a body that waits holds
 	// none.
 	responseShare = 4
+	// heldShare is the share of the budget that Hold may take from bodies and responses, in
+	// eighths: what it counts can't wait or be dropped, and must not keep out every body.
+	heldShare = 3
 	// StallTime is the time in which a holder that is not to be dropped moves minMoved bytes.
 	StallTime = time.Second
 	minMoved  = 4 << 10
@@ -62,6 +66,8 @@
 	// Now reads the timer service's clock.
 	Now func() time.Time
 
+	held atomic.Int64 // by Hold
+
 	mu       sync.Mutex
 	used     int64
 	wanted   int64 // by holders that wait
@@ -116,9 +122,20 @@
 func (b *Budget) Used() int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.used
+	return b.used + b.held.Load()
 }
 
+// Hold counts n bytes that are held whether there is room or not, such as heads and the buffers
+// of connections. A negative n gives them back. It takes no lock. A nil Budget counts nothing.
+func (b *Budget) Hold(n int64) {
+	if b != nil {
+		b.held.Add(n)
+	}
+}
+
+// reservable returns the size of the part of the budget that can be reserved.
+func (b *Budget) reservable() int64 { return b.Bytes - min(b.held.Load(), b.Bytes*heldShare/8) }
+
 // DroppedCount returns how many holders have been dropped.
 func (b *Budget) DroppedCount() int64 {
 	b.mu.Lock()
@@ -130,7 +147,7 @@
 func (b *Budget) TryReserve(n int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.used+n > b.Bytes {
+	if b.used+n > b.reservable() {
 		return false
 	}
 	b.used += n
@@ -184,11 +201,12 @@
 func (b *Budget) fitsLocked(h *Holder, n int64) bool {
 	reserve := b.Bytes / smallShare
 	small := h.held+n <= SmallBytes
-	large := b.Bytes - reserve
+	all := b.reservable()
+	large := all - reserve
 	if !h.isResponse {
 		large -= b.Bytes / responseShare
 	}
-	return b.used+n <= large || small && b.used+n <= b.Bytes || !h.isResponse && b.used-h.held <= reserve
+	return b.used+n <= large || small && b.used+n <= all || !h.isResponse && b.used-h.held <= reserve
 }
 
 // pickLocked drops the holders with the least progress, until what they hold covers what is
@@ -329,7 +347,7 @@
 	if n == 0 {
 		return
 	}
-	room := b.Bytes - b.used
+	room := b.reservable() - b.used
 	for h := range b.waiting {
 		if room <= 0 {
 			return
--- a/core/process/gtbudget/budget_test.go
+++ b/core/process/gtbudget/budget_test.go
@@ -170,3 +170,26 @@
 	w.Release(8 * mib)
 	g.Expect(w.Used()).To(gomega.BeZero())
 }
+
+// Guards against memory for heads and the buffers of connections that comes on top of the budget,
+// and against so much of it that no body is read any more.
+func TestHeldBytesTakeFromBodiesWithinBounds(t *testing.T) {
+	g := gomega.NewWithT(t)
+	free := func(held int64) int64 {
+		w := newWorld(16 * mib)
+		other := w.join()
+		g.Expect(fill(other, 64<<10, 3*mib)).To(gomega.Equal(int64(3 * mib)))
+		w.Hold(held)
+		g.Expect(w.Used()).To(gomega.Equal(3*mib + held))
+		got := fill(w.join(), 64<<10, 64*mib)
+		w.Hold(-held)
+		return got
+	}
+	g.Expect(free(0) - free(2*mib)).To(gomega.Equal(int64(2 * mib)))
+	g.Expect(free(1000 * mib)).To(gomega.Equal(free(6 * mib)))
+	g.Expect(free(1000 * mib)).To(gomega.BeNumerically(">=", mib))
+	w := newWorld(16 * mib)
+	w.Hold(1000 * mib)
+	g.Expect(fill(w.join(), 64<<10, 64*mib)).To(gomega.Equal(int64(64*mib)), "a holder that is alone")
+	(*Budget)(nil).Hold(1)
+}
--- a/io/connection/gtpool/conn.go
+++ b/io/connection/gtpool/conn.go
@@ -24,6 +24,9 @@
 // in trouble may send bytes without end.
 const maxHeadBytes = 512 << 10
 
+// bufferBytes is the size of each of the two buffers of a connection.
+const bufferBytes = 4 << 10
+
 // errHeadTooLarge ends an exchange in which more than maxHeadBytes were received.
 var errHeadTooLarge = errorx.IllegalFormat.New("received %d bytes without the head of a response", maxHeadBytes)
 
@@ -51,8 +54,9 @@
 
 func newConn(p *Pool, nc net.Conn, addr, class string) *conn {
 	c := &conn{pool: p, nc: nc, addr: addr, class: class, liveness: gtliveness.Liveness{Now: p.Now}}
-	c.r = bufio.NewReaderSize(c, 4<<10)
-	c.w = bufio.NewWriterSize(countingWriter{c}, 4<<10)
+	c.r = bufio.NewReaderSize(c, bufferBytes)
+	c.w = bufio.NewWriterSize(countingWriter{c}, bufferBytes)
+	p.hold(2 * bufferBytes)
 	c.liveness.Received()
 	return c
 }
@@ -212,6 +216,7 @@
 	c.closeOnce.Do(func() {
 		_ = c.nc.Close()
 		c.pool.release(c.addr)
+		c.pool.hold(-2 * bufferBytes)
 	})
 }
 
--- a/io/connection/gtpool/limit_test.go
+++ b/io/connection/gtpool/limit_test.go
@@ -45,3 +45,28 @@
 		g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.Full), "the limit of the settings holds without one of the service")
 	})
 }
+
+// Guards against buffers of connections that are not counted, or stay counted once the
+// connections are closed.
+func TestBuffersOfConnectionsAreCounted(t *testing.T) {
+	gtclock.Run(t, func(t *testing.T, network *gtpipe.Network) {
+		g := gomega.NewWithT(t)
+		addr, _ := servePeer(t, network, func(_ int, w io.Writer, _ *http.Request) bool { return writeOK(w) })
+		p := newPool(network)
+		held := int64(0)
+		p.Hold = func(n int64) { held += n }
+		var bodies []io.Closer
+		for range 3 {
+			req, _ := http.NewRequest(http.MethodGet, "http://"+addr+"/x", nil)
+			resp, err := p.Do(context.Background(), addr, "normal", req, true)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			bodies = append(bodies, resp.Body)
+		}
+		g.Expect(held).To(gomega.Equal(int64(3 * 8 << 10)))
+		for _, b := range bodies {
+			_ = b.Close()
+		}
+		p.Close()
+		g.Expect(held).To(gomega.BeZero())
+	})
+}
--- a/io/connection/gtpool/pool.go
+++ b/io/connection/gtpool/pool.go
@@ -55,6 +55,10 @@
 	// which may change; 0 means none. A nil ConnLimit sets none.
 	ConnLimit func() int
 
+	// Hold counts the bytes of the buffers of a new connection, and gives them back with a
+	// negative number. A nil Hold counts nothing.
+	Hold func(bytes int64)
+
 	idle   gtshard.Map[[]*conn]
 	open   gtshard.Map[int]
 	closed atomic.Bool
@@ -228,6 +232,13 @@
 	return ok
 }
 
+// hold counts the buffers of a connection.
+func (p *Pool) hold(bytes int64) {
+	if p.Hold != nil {
+		p.Hold(bytes)
+	}
+}
+
 // release removes one connection to addr from the count.
 func (p *Pool) release(addr string) {
 	p.open.Do(addr, func(m map[string]int) {
--- a/io/process/gtnode/bounds.go
+++ b/io/process/gtnode/bounds.go
@@ -177,3 +177,16 @@
 		c.inBody.Store(true)
 	}
 }
+
+// countHeads wraps a handler so that the head of a request counts in the budget while the request
+// is served. One that was read together with the request before it does not.
+func (n *Node) countHeads(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := gtsocket.Conn(r.Context()).(*limitConn); ok {
+			size := c.headBytes.Swap(0)
+			n.budget.Hold(size)
+			defer n.budget.Hold(-size)
+		}
+		h.ServeHTTP(w, r)
+	})
+}
--- a/io/process/gtnode/bounds_test.go
+++ b/io/process/gtnode/bounds_test.go
@@ -15,6 +15,7 @@
 	"github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"godwittide/core/process/gtbudget"
 	"godwittide/io/process/gtsettings"
 )
 
@@ -205,3 +206,38 @@
 		}
 	})).To(gomega.BeEmpty())
 }
+
+// Guards against heads of requests that run which come on top of the budget, and against ones that
+// stay counted, also when a handler panics.
+func TestHeadsAreCountedWhileTheirRequestsRun(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := &Node{Log: zerolog.Nop(), budget: &gtbudget.Budget{Bytes: 1 << 20, Now: time.Now}}
+	n.Settings.Limit.MaxHeadBytes, n.Settings.Limit.ReadTimeout = 16<<10, gtsettings.Duration(time.Minute)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	used := make(chan int64, 4)
+	server, serve := n.Serve("test", ln, 10, n.countHeads(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		used <- n.budget.Used()
+		if r.URL.Path == "/panic" {
+			panic(http.ErrAbortHandler)
+		}
+	})))
+	go func() { _ = serve() }()
+	defer server.Close()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for _, path := range []string{"/", "/" + strings.Repeat("x", 5000), "/", "/panic"} {
+		head := "POST " + path + " HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\n"
+		_, _ = io.WriteString(c, head+"abc")
+		resp, err := http.ReadResponse(r, nil)
+		if path != "/panic" {
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			resp.Body.Close()
+		}
+		// net/http may read the first byte of a head before it tells that the connection is idle.
+		g.Expect(<-used).To(gomega.BeNumerically("~", len(head), 1))
+	}
+	g.Eventually(n.budget.Used).Should(gomega.BeZero())
+}
--- a/io/process/gtnode/conns.go
+++ b/io/process/gtnode/conns.go
@@ -196,6 +196,8 @@
 	restart  atomic.Bool  // the next byte begins a head
 	inBody   atomic.Bool  // a request is served, so that what comes is no head, or one behind it
 	head     headLines
+	// headBytes is the size of the head that was last completed, until it is counted.
+	headBytes atomic.Int64
 }
 
 // Read reads from the connection.
@@ -250,6 +252,9 @@
 	}
 	before := c.head.bytes
 	ok := c.head.add(b)
+	if c.head.isComplete {
+		c.headBytes.Store(c.head.bytes)
+	}
 	switch limit := c.listener.maxHeadBytes; {
 	case !ok && c.head.empty > maxEmptyLines:
 		c.ReportLimit(limitEmptyLines, maxEmptyLines)
@@ -298,8 +303,9 @@
 	if h.isComplete {
 		return true
 	}
+	before := h.bytes
 	h.bytes += int64(len(b))
-	for _, c := range b {
+	for i, c := range b {
 		switch {
 		case c == '\r':
 		case c != '\n':
@@ -311,6 +317,7 @@
 			}
 		case h.lines > 0:
 			h.isComplete = true
+			h.bytes = before + int64(i) + 1
 			return true
 		default:
 			if h.empty++; h.empty > maxEmptyLines {
--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -323,13 +323,13 @@
 	n.outcomes = &gtcanary.OutcomeCounter{OnBatch: n.judges.requestReport}
 	n.outcomes.Restart(uint64(n.startTime.UnixMilli()))
 	n.router = &gtroute.Router{Now: now, Rand: rand.Float64, Zone: cfg.Node.Zone, Instances: n.table.ServiceMembers, MoveShare: n.moves.Share, IsRolledBack: n.moves.IsRolledBack, OnMovePick: n.countMovePick, Spare: n.spare}
-	n.hopPool = &gtpool.Pool{Dial: n.dialNode, Now: now, SupportsPing: true, MaxConns: cfg.Backend.MaxConnections}
+	n.hopPool = &gtpool.Pool{Dial: n.dialNode, Now: now, SupportsPing: true, MaxConns: cfg.Backend.MaxConnections, Hold: n.budget.Hold}
 	n.backendPool = &gtpool.Pool{
 		Dial: n.dialBackend, Now: now, MaxConns: cfg.Backend.MaxConnections, MaxReuseIdle: time.Duration(cfg.Backend.MaxReuseIdle), IsMismatched: n.IsMismatched,
-		ConnLimit: n.backendConnLimit,
+		ConnLimit: n.backendConnLimit, Hold: n.budget.Hold,
 	}
 	n.localBackend = &gthop.LocalBackend{
-		Now: now, Self: n.table.Self, Address: cfg.Backend.Address, MaxBufferBytes: cfg.Limit.MaxBufferBytes, Pool: n.backendPool,
+		Now: now, Self: n.table.Self, Address: cfg.Backend.Address, MaxBufferBytes: cfg.Limit.MaxBufferBytes, Budget: n.budget, Pool: n.backendPool,
 		Gate: n.gate, Keys: n.dedup, Crashes: n.crashes, Outcomes: n.outcomes,
 		HistoryKnown: n.dedupHistoryKnown, OnCrash: n.announceCrash, CheckDown: n.probeDown, MayRun: n.mayRun, ReadyAt: n.backend.readyTime, Trace: n.tracer.Start,
 		Dialect: n.Dialect, OnResult: n.logBackendCall, OnOmitted: n.countOmitted, HasAccounts: n.hasAccounts,
@@ -341,7 +341,7 @@
 		n.localBackend.Learned, n.localBackend.OnServed = n.learnedCapacity, n.observeServed
 	}
 	n.hopHandler = &gthop.Handler{LocalBackend: n.localBackend, Timer: n.timer, MaxBodyBytes: n.maxBodyBytes, Budget: n.budget, OnPanic: n.recordPanic, PausedSince: n.timer.PausedSince, Requests: n.requests}
-	client := &gthop.Client{Now: now, Pool: n.hopPool, Dialect: n.Dialect, MaxBufferBytes: cfg.Limit.MaxBufferBytes, Trace: n.tracer.Start}
+	client := &gthop.Client{Now: now, Pool: n.hopPool, Dialect: n.Dialect, MaxBufferBytes: cfg.Limit.MaxBufferBytes, Budget: n.budget, Trace: n.tracer.Start}
 	n.edge = &gtedge.Edge{
 		Now: now, Self: cfg.Node.Instance, IDPrefix: cfg.Node.Instance + "-" + strconv.FormatInt(n.startTime.UnixMilli(), 36) + "-",
 		MaxBodyBytes: n.maxBodyBytes, Budget: n.budget, MaxHops: cfg.Limit.MaxHops, Holder: n.holder, Router: n.router, Instances: n.table.ServiceMembers,
--- a/io/process/gtnode/serve.go
+++ b/io/process/gtnode/serve.go
@@ -162,10 +162,10 @@
 	if n.Middleware != nil {
 		edgeHandler = n.Middleware(edgeHandler)
 	}
-	edgeHandler = n.servers.edgeConns.closeWhen(n.drain.Begun, edgeHandler)
+	edgeHandler = n.countHeads(n.servers.edgeConns.closeWhen(n.drain.Begun, edgeHandler))
 	n.servers.edge = n.newServer(edgeHandler)
-	n.servers.hop = n.newServer(n.servers.hopConns.closeWhen(n.drain.LingerEnded, n.hopHandler))
-	admin, serveAdmin := n.Serve(listenerAdmin, l.admin, n.Settings.Limit.MaxAdminConnections, n.adminHandler())
+	n.servers.hop = n.newServer(n.countHeads(n.servers.hopConns.closeWhen(n.drain.LingerEnded, n.hopHandler)))
+	admin, serveAdmin := n.Serve(listenerAdmin, l.admin, n.Settings.Limit.MaxAdminConnections, n.countHeads(n.adminHandler()))
 	n.servers.admin = admin
 	n.servers.listeners = l
 	n.servers.edge.ConnState, n.servers.hop.ConnState = n.servers.edgeConns.trackState, n.servers.hopConns.trackState
--- a/io/request/gthop/client.go
+++ b/io/request/gthop/client.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"godwittide/core/process/gtbudget"
 	"godwittide/core/process/gtmember"
 	"godwittide/core/request/gtcall"
 	"godwittide/core/request/gtinflight"
@@ -29,6 +30,8 @@
 	// MaxBufferBytes is the size in bytes up to which a response is buffered; a
 	// larger one is streamed.
 	MaxBufferBytes int
+	// Budget counts buffered responses as they are read. Nil means that they are not counted.
+	Budget *gtbudget.Budget
 	// Trace starts a span and returns the function that ends it.
 	Trace func(ctx context.Context, name string, h http.Header) (context.Context, func(error))
 }
@@ -124,7 +127,7 @@
 		finish(err)
 		return gtcall.Response{}, err
 	}
-	resp, err := readResponse(httpResp, cl.MaxBufferBytes, finish)
+	resp, err := readResponse(httpResp, cl.MaxBufferBytes, cl.Budget, finish)
 	if err != nil {
 		return gtcall.Response{}.WithLoad(meta.load), err
 	}
--- a/io/request/gthop/localbackend.go
+++ b/io/request/gthop/localbackend.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"godwittide/core/process/gtbudget"
 	"godwittide/core/process/gtmember"
 	"godwittide/core/request/gtadmission"
 	"godwittide/core/request/gtcall"
@@ -34,6 +35,8 @@
 	// MaxBufferBytes is the size in bytes up to which a response is buffered; a
 	// larger one is streamed.
 	MaxBufferBytes int
+	// Budget counts buffered responses as they are read. Nil means that they are not counted.
+	Budget *gtbudget.Budget
 	// Pool holds the connections to the backend server.
 	Pool *gtpool.Pool
 	// Gate is the admission gate of the backend server.
@@ -304,7 +307,7 @@
 			return gtcall.Response{}, err
 		}
 		var resp gtcall.Response
-		resp, err = readResponse(httpResp, b.MaxBufferBytes, finish)
+		resp, err = readResponse(httpResp, b.MaxBufferBytes, b.Budget, finish)
 		if err == nil {
 			b.forgetCrashes(c)
 			return resp.WithLoad(b.Load(c.Route())), nil
--- a/io/request/gthop/reader_test.go
+++ b/io/request/gthop/reader_test.go
@@ -170,3 +170,31 @@
 		})
 	}
 }
+
+// Guards against buffered responses that come on top of the budget while their server sends them,
+// and against ones that stay counted.
+func TestBufferedResponseIsCountedAsItIsRead(t *testing.T) {
+	for name, size := range map[string]int64{"with length": 600, "chunked": -1} {
+		for end, fails := range map[string]error{"complete": nil, "cut off": io.ErrUnexpectedEOF} {
+			t.Run(name+" "+end, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				budget := &gtbudget.Budget{Bytes: 1 << 20, Now: time.Now}
+				r, w := io.Pipe()
+				used := make(chan int64, 1)
+				go func() {
+					_, _ = w.Write(make([]byte, 500))
+					_, _ = w.Write(make([]byte, 1)) // once the bytes before it have been counted
+					used <- budget.Used()
+					if fails == nil {
+						_, _ = w.Write(make([]byte, 99))
+					}
+					_ = w.CloseWithError(fails)
+				}()
+				_, err := readResponse(&http.Response{Body: r, ContentLength: size, Header: http.Header{}}, 1000, budget, func(error) {})
+				g.Expect(err != nil).To(gomega.Equal(fails != nil))
+				g.Expect(<-used).To(gomega.BeNumerically(">=", 500))
+				g.Expect(budget.Used()).To(gomega.BeZero())
+			})
+		}
+	}
+}
--- a/io/request/gthop/response.go
+++ b/io/request/gthop/response.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"godwittide/core/process/gtbudget"
 	"godwittide/core/request/gtcall"
 	"godwittide/core/request/gtkind"
 )
@@ -39,8 +40,9 @@
 
 // readResponse returns a response with a buffered body if that has at most limit
 // bytes, and with a stream otherwise. It calls onClose once, when the body has
-// been read or the stream closed, with the error that ended it, or nil.
-func readResponse(resp *http.Response, limit int, onClose func(error)) (gtcall.Response, error) {
+// been read or the stream closed, with the error that ended it, or nil. What is
+// buffered counts in the budget while it is read.
+func readResponse(resp *http.Response, limit int, budget *gtbudget.Budget, onClose func(error)) (gtcall.Response, error) {
 	header := ForwardableHeader(resp.Header)
 	size := resp.ContentLength
 	if resp.Request != nil && resp.Request.Method == http.MethodHead {
@@ -51,7 +53,7 @@
 	if size > int64(limit) {
 		return gtcall.NewStreamResponse(resp.StatusCode, header, &streamBody{ReadCloser: resp.Body, onClose: onClose}, size), nil
 	}
-	b, err := readUpTo(resp.Body, size, limit)
+	b, err := readUpTo(resp.Body, size, limit, budget)
 	if err != nil {
 		resp.Body.Close()
 		onClose(err)
@@ -70,15 +72,37 @@
 
 // readUpTo reads a body of the given size. A body of unknown size (-1) is read
 // to its end or to one byte above limit.
-func readUpTo(r io.Reader, size int64, limit int) ([]byte, error) {
+func readUpTo(r io.Reader, size int64, limit int, budget *gtbudget.Budget) ([]byte, error) {
 	if size < 0 {
-		return io.ReadAll(io.LimitReader(r, int64(limit)+1))
+		counted := &countedReader{Reader: io.LimitReader(r, int64(limit)+1), budget: budget}
+		defer counted.release()
+		return io.ReadAll(counted)
 	}
+	budget.Hold(size)
+	defer budget.Hold(-size)
 	b := make([]byte, size)
 	_, err := io.ReadFull(r, b)
 	return b, err
 }
 
+// countedReader counts in the budget what is read.
+type countedReader struct {
+	io.Reader
+	budget *gtbudget.Budget
+	held   int64
+}
+
+// Read reads and counts.
+func (c *countedReader) Read(p []byte) (int, error) {
+	n, err := c.Reader.Read(p)
+	c.held += int64(n)
+	c.budget.Hold(int64(n))
+	return n, err
+}
+
+// release gives back what was counted.
+func (c *countedReader) release() { c.budget.Hold(-c.held) }
+
 // streamBody is the body of a response that is too large to buffer: the prefix
 // that has been read already, and the rest, which is read from the connection.
 type streamBody struct {
