gtpipeline: bound the lines of heads that are sent ahead

Cause: the lines of a head are counted as it is read from the connection, and not while a request runs. Heads sent ahead were bounded by their size alone, of which a line of five bytes takes some hundred once it is parsed.

--- a/io/connection/gtpipeline/conn.go
+++ b/io/connection/gtpipeline/conn.go
@@ -15,6 +15,7 @@
 	"golang.org/x/net/http/httpguts"
 
 	"godwittide/core/connection/gtsequence"
+	"godwittide/io/connection/gtsocket"
 )
 
 const (
@@ -180,7 +181,7 @@
 		if !c.awaitRequest(lastMethod == http.MethodPost) {
 			return
 		}
-		head, err := readHead(c.br, c.server.MaxHeadBytes+headSlack)
+		head, err := readHead(c.br, c.server.MaxHeadBytes+headSlack, c.server.MaxHeadLines)
 		if err != nil {
 			c.failRead(err)
 			return
@@ -268,6 +269,9 @@
 	var refused *refusal
 	switch {
 	case errors.As(err, &refused):
+		if refused.limit != "" {
+			gtsocket.ReportLimit(c.nc, refused.limit, int64(c.server.MaxHeadLines))
+		}
 		resp := newResponse(c, c.base, http.Header{})
 		resp.raw, resp.finished = refused.response(), true
 		close(resp.done)
--- a/io/connection/gtpipeline/pipeline.go
+++ b/io/connection/gtpipeline/pipeline.go
@@ -44,6 +44,8 @@
 	Release func(bytes int64)
 	// MaxHeadBytes is the maximum size of a request's head, as in http.Server.
 	MaxHeadBytes int
+	// MaxHeadLines is the maximum number of lines of a head; 0 means no limit.
+	MaxHeadLines int
 	// ReadTimeout is the timeout for reading a request.
 	ReadTimeout time.Duration
 	// IdleTimeout is how long a connection without requests is kept open.
--- a/io/connection/gtpipeline/pipeline_test.go
+++ b/io/connection/gtpipeline/pipeline_test.go
@@ -50,7 +50,7 @@
 	s.pipeline = &gtpipeline.Server{
 		Handler: s, Idempotent: func(r *http.Request) bool { return r.Method != http.MethodPost },
 		Limits:       gtsequence.Limits{Requests: depth, RequestBytes: 64 << 10, ResponseBytes: 64 << 10},
-		MaxHeadBytes: 8 << 10, ReadTimeout: 3 * time.Second, IdleTimeout: 30 * time.Second,
+		MaxHeadBytes: 8 << 10, MaxHeadLines: 100, ReadTimeout: 3 * time.Second, IdleTimeout: 30 * time.Second,
 		Draining: s.draining.Load, OnRequest: func(int) { s.depths.Add(1) },
 		OnState: func(_ net.Conn, state http.ConnState) {
 			s.mu.Lock()
@@ -261,6 +261,8 @@
 		{"a malformed one", []string{request("GET", "a?ms=100"), "GET /b HTTP/1.1\r\nHost: a\r\n: x\r\n\r\n", request("GET", "c")}, "a 400!", "a", 200 * time.Millisecond},
 		{"one without a host", []string{request("GET", "a?ms=100"), "GET /b HTTP/1.1\r\n\r\n", request("GET", "c")}, "a 400!", "a", 200 * time.Millisecond},
 		{"one with an unknown encoding", []string{request("GET", "a?ms=100"), "POST /b HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: rot13\r\n\r\n", request("GET", "c")}, "a 501!", "a", 200 * time.Millisecond},
+		{"a head of too many lines", []string{request("GET", "a?ms=100"), "GET /b HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("x:\r\n", 99) + "\r\n", request("GET", "c")}, "a 431!", "a", 3 * time.Second},
+		{"a head of as many lines", []string{request("GET", "a?ms=100"), "GET /b HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("x:\r\n", 98) + "\r\n"}, "a b", "a b", 3 * time.Second},
 		{"a head over the limit", []string{request("GET", "a?ms=100"), "GET /b HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 13<<10) + "\r\n\r\n", request("GET", "c")}, "a 431!", "a", 3 * time.Second},
 		{"a body that is not read", []string{request("GET", "a?ms=100"), request("POST", "b?read=no"), request("GET", "c")}, "a b c", "a b c", 200 * time.Millisecond},
 		{"HTTP/1.0 behind", []string{request("GET", "a?ms=100"), "GET /b HTTP/1.0\r\n\r\n", request("GET", "c")}, "a b!", "a b", 200 * time.Millisecond},
--- a/io/connection/gtpipeline/request.go
+++ b/io/connection/gtpipeline/request.go
@@ -28,6 +28,8 @@
 	maxDiscardBytes = 256 << 10
 	// alone is the size of a request that starts only once all ahead of it are answered.
 	alone = math.MaxInt64
+	// limitHeadLines names the limit on the lines of a head in reports.
+	limitHeadLines = "lines"
 	// lineEnd ends the lines behind a chunked body.
 	lineEnd = "\r\n"
 )
@@ -40,6 +42,7 @@
 type refusal struct {
 	status int
 	detail string
+	limit  string // that was exceeded, as it is named in reports, or empty
 }
 
 // Error returns the status line and the detail.
@@ -66,9 +69,10 @@
 
 // readHead reads the head of a request, up to and including the empty line that ends it. An
 // empty first line is returned as a head of its own.
-func readHead(br *bufio.Reader, limit int) ([]byte, error) {
+// A head of more than maxLines lines is refused, unless that is 0.
+func readHead(br *bufio.Reader, limit, maxLines int) ([]byte, error) {
 	var head []byte
-	lineStart := 0
+	lineStart, lines := 0, 0
 	for {
 		part, err := br.ReadSlice('\n')
 		head = append(head, part...)
@@ -84,6 +88,9 @@
 			return head, nil
 		}
 		lineStart = len(head)
+		if lines++; maxLines > 0 && lines > maxLines {
+			return nil, &refusal{status: http.StatusRequestHeaderFieldsTooLarge, limit: limitHeadLines}
+		}
 	}
 }
 
--- a/io/process/gtnode/serve.go
+++ b/io/process/gtnode/serve.go
@@ -216,7 +216,7 @@
 		Handler: h, Idempotent: n.edge.IsIdempotent, Draining: n.drain.Begun,
 		Limits:  gtsequence.Limits{Requests: limit.Pipeline, RequestBytes: maxAheadBytes, ResponseBytes: maxKeptBytes},
 		Reserve: n.budget.TryReserve, Release: n.budget.Release,
-		MaxHeadBytes: limit.MaxHeadBytes, ReadTimeout: time.Duration(limit.ReadTimeout), IdleTimeout: idleTimeout,
+		MaxHeadBytes: limit.MaxHeadBytes, MaxHeadLines: maxHeadLines, ReadTimeout: time.Duration(limit.ReadTimeout), IdleTimeout: idleTimeout,
 		OnState: n.servers.edgeConns.trackTakenOver, OnWait: resetReceived, OnRequest: n.pipelines.recordRequest,
 		OnTakeOver: n.logTakeOver, ErrorLog: debugLogger(n.Log),
 	}
