test/untrusted: wait until the node has read the end of closed connections

Cause: TestSilentConnectionsOfOneAddress/edge failed once in the whole package: its ordinary GET comes from the address whose 10 connections it had just closed, and the node had not read their end yet. It now waits until the address has a connection again, which also checks that counts are given back.

--- a/test/untrusted/limits_test.go
+++ b/test/untrusted/limits_test.go
@@ -139,6 +139,15 @@
 				lines, _ := n.limitLines("address", listener)
 				return lines > 0
 			})
+			// The node counts a connection until it has read of its end.
+			eventually(t, "connection of the address once the others are closed", func() bool {
+				conn, err := net.DialTimeout("tcp", addr, waitTime)
+				if err != nil {
+					return false
+				}
+				defer conn.Close()
+				return openConns([]net.Conn{conn}) == 1
+			})
 			n.check(t)
 		})
 	}
