--- a/io/request/gthop/localbackend.go
+++ b/io/request/gthop/localbackend.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"godwittide/core/process/gtbudget"
 	"godwittide/core/process/gtmember"
 	"godwittide/core/request/gtadmission"
 	"godwittide/core/request/gtcall"
@@ -35,6 +36,8 @@
 	// MaxBufferBytes is the size in bytes up to which a response is buffered; a
 	// larger one is streamed.
 	MaxBufferBytes int
+	// Budget counts buffered responses as they are read. Nil means that they are not counted.
+	Budget *gtbudget.Budget
 	// Pool holds the connections to the backend server.
 	Pool *gtpool.Pool
 	// Gate is the admission gate of the backend server.
@@ -301,9 +304,9 @@
 	if b.OnBegin != nil {
 		notRun = b.OnBegin(c)
 	}
-ctx, giveUp := context.WithCancel(ctx)
-	if c.Stream() != nil {
-		giveUp = nil // the body may wait for its sender
+	var giveUp func()
+	if c.Stream() == nil { // the body of a stream may wait for its sender
+		ctx, giveUp = context.WithCancel(ctx)
 	}
 	ticket.Sent(c.Route(), giveUp)
 	httpResp, err := b.send(ctx, c, req)
@@ -323,7 +326,7 @@
 			return gtcall.Response{}, err
 		}
 		var resp gtcall.Response
-		resp, err = readResponse(httpResp, b.MaxBufferBytes, finish)
+		resp, err = readResponse(httpResp, b.MaxBufferBytes, b.Budget, finish)
 		if err == nil {
 			b.forgetCrashes(c)
 			return resp.WithLoad(b.Load(c.Route())), nil
--- a/test/untrusted/node_test.go
+++ b/test/untrusted/node_test.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -53,6 +54,11 @@
 [route.hold]
 service = "lending"
 path = "/lending"
+
+[route.long]
+service = "lending"
+path = "/lending/long"
+timeout = "5m"
 `
 
 // process is a program that a test has started.
@@ -142,8 +148,9 @@
 	return startNodeWith(t, bodyBytes, budgetBytes)
 }
 
-// startNodeWith starts a node with the given limit.body and limit.memory.
-func startNodeWith(t *testing.T, maxBody, budget int) node {
+// startNodeWith starts a node with the given limit.body and limit.memory, and further settings
+// of the section limit, such as "hop = 20", or of backend, such as "backend.slots = 2".
+func startNodeWith(t *testing.T, maxBody, budget int, settings ...string) node {
 	t.Helper()
 	dir, err := build()
 	if err != nil {
@@ -152,7 +159,7 @@
 	const anyPort = "127.0.0.1:0"
 	store := start(t, dir, "godwitstand", "store", "--listen", anyPort).waitFor(t, `store listens on ([^; ]+);`)[0]
 	backend := start(t, dir, "godwitstand", "backend", "--listen", anyPort, "--name", "a1").waitFor(t, `listens on ([^; ]+);`)[0]
-	n := startInstance(t, dir, instance{name: "a1", service: "lending", backend: backend, store: store, maxBody: maxBody, budget: budget})
+	n := startInstance(t, dir, instance{name: "a1", service: "lending", backend: backend, store: store, maxBody: maxBody, budget: budget, settings: settings})
 	n.awaitConfig(t, dir, store, folder)
 	return n
 }
@@ -162,28 +169,37 @@
 	name, service, backend, store string
 	maxBody, budget               int
 	peers                         []string
-	slots                         int // 0 means the default, adaptive limit
+	// settings are further lines of the section limit, or of backend with that prefix.
+	settings []string
 }
 
-// startInstance starts a node.
+// startInstance starts a node. A program from before a setting of the section limit is started
+// without it and held to the same bounds.
 func startInstance(t *testing.T, dir string, i instance) node {
 	t.Helper()
 	const anyPort = "127.0.0.1:0"
-	memory := fmt.Sprintf("memory = %d\n", i.budget)
+	var backendLines []string
+	limits := []string{fmt.Sprintf("memory = %d", i.budget)}
+	for _, line := range i.settings {
+		if rest, ok := strings.CutPrefix(line, "backend."); ok {
+			backendLines = append(backendLines, rest)
+		} else {
+			limits = append(limits, line)
+		}
+	}
 	sample, err := exec.Command(filepath.Join(dir, "godwittide"), "node", "--sample").Output()
 	if err != nil {
 		t.Fatal(err)
 	}
-	if !bytes.Contains(sample, []byte("memory =")) {
-		memory = "" // a program from before the setting, which is held to the same bound
-	}
-	peers, slots := "", ""
+	limits = slices.DeleteFunc(limits, func(line string) bool {
+		key, _, _ := strings.Cut(line, " ")
+		_, known, _ := bytes.Cut(sample, []byte("[limit]"))
+		return !bytes.Contains(known, []byte("\n# "+key+" ="))
+	})
+	peers := ""
 	if len(i.peers) > 0 {
 		peers = fmt.Sprintf("peers = [%q]", i.peers[0])
 	}
-	if i.slots > 0 {
-		slots = fmt.Sprintf("slots = %d\nfixed = true", i.slots)
-	}
 	text := fmt.Sprintf(`
 [node]
 instance = %[6]q
@@ -203,7 +219,8 @@
 endpoint = "http://%[3]s"
 [limit]
 body = %[4]d
-%[5]s`, anyPort, i.backend, i.store, i.maxBody, memory, i.name, i.service, peers, slots)
+%[5]s
+`, anyPort, i.backend, i.store, i.maxBody, strings.Join(limits, "\n"), i.name, i.service, peers, strings.Join(backendLines, "\n"))
 	file := filepath.Join(t.TempDir(), i.name+".toml")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
--- a/test/untrusted/stream_test.go
+++ b/test/untrusted/stream_test.go
@@ -58,7 +58,7 @@
 	t.Cleanup(func() { _ = server.Close() })
 	store := start(t, dir, "godwitstand", "store", "--listen", "127.0.0.1:0").waitFor(t, `store listens on ([^; ]+);`)[0]
 	front := start(t, dir, "godwitstand", "backend", "--listen", "127.0.0.1:0", "--name", "e1").waitFor(t, `listens on ([^; ]+);`)[0]
-	beside := startInstance(t, dir, instance{name: "a1", service: "lending", backend: ln.Addr().String(), store: store, maxBody: 2 * streamBytes, budget: budgetBytes, slots: 2 * streams})
+	beside := startInstance(t, dir, instance{name: "a1", service: "lending", backend: ln.Addr().String(), store: store, maxBody: 2 * streamBytes, budget: budgetBytes, settings: []string{fmt.Sprintf("backend.slots = %d", 2*streams), "backend.fixed = true"}})
 	edge := startInstance(t, dir, instance{name: "e1", service: "front", backend: front, store: store, maxBody: 2 * streamBytes, budget: budgetBytes, peers: []string{beside.peer}})
 	beside.awaitConfig(t, dir, store, streamFolder)
 	edge.awaitConfig(t, dir, store, streamFolder)
