gttimer: a signal may have arrived before a series of pauses

Cause: EarliestArrival looked at the last pause only. Change: pauses with at most 1 s of running between them are one series, and the signal may have arrived before its start. The node of the trace wrote log lines 0.9 s after the signal, hence 1 s. Result: the new test, three pauses of 900 ms under the test clock, fails with the code before and passes now.

--- a/core/process/gttimer/timer.go
+++ b/core/process/gttimer/timer.go
@@ -36,6 +36,10 @@
 	// pauseThreshold is the time between two checks of the clock above which the
 	// process counts as paused: it was stopped or got no processor time.
 	pauseThreshold = 250 * time.Millisecond
+	// pauseSeriesGap is the longest time that the process runs between two pauses of one
+	// series. A node short of processor time wrote log lines 0.9 s after a SIGTERM that it
+	// had not handled yet, and was paused again after them.
+	pauseSeriesGap = time.Second
 	// tickGrid is the distance between the times at which periodic ticks are
 	// delivered. They are delivered together, and with a check of the clock, since each
 	// time that the process wakes up costs as much as the work of most ticks.
@@ -59,7 +63,7 @@
 	wake      chan struct{}
 	lastCheck time.Time
 	lastPause time.Time // end of the latest pause
-	pausedAt  time.Time // last check before it
+	pausedAt  time.Time // last check before the series of pauses that it ends
 }
 
 // Ticker is one subscription. Its channel holds at most one pending tick: while
@@ -194,7 +198,7 @@
 	defer s.mu.Unlock()
 	now := s.Time()
 	if !s.lastCheck.IsZero() && now.Sub(s.lastCheck) > pauseThreshold {
-		s.lastPause, s.pausedAt = now, s.lastCheck
+		s.lastPause, s.pausedAt = now, s.seriesStart()
 	}
 	s.lastCheck = now
 	next := now.Add(1)
@@ -213,8 +217,18 @@
 	return s.lastPause.After(since) || s.Time().Sub(s.lastCheck) > pauseThreshold
 }
 
+// seriesStart returns the start of the series of pauses that a pause after the last check
+// belongs to. The caller holds the lock.
+func (s *Service) seriesStart() time.Time {
+	if !s.lastPause.IsZero() && s.lastCheck.Sub(s.lastPause) <= pauseSeriesGap {
+		return s.pausedAt
+	}
+	return s.lastCheck
+}
+
 // EarliestArrival returns the earliest time at which a signal may have arrived that the
-// process handles now: before a pause that has just ended, or else now.
+// process handles now: before a series of pauses that has just ended, or else now. Between
+// two pauses the process may run without getting to the signal.
 func (s *Service) EarliestArrival() time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -223,7 +237,7 @@
 	case s.lastCheck.IsZero():
 		return now
 	case now.Sub(s.lastCheck) > pauseThreshold: // the pause is not recorded yet
-		return s.lastCheck
+		return s.seriesStart()
 	case !s.lastPause.IsZero() && now.Sub(s.lastPause) <= pauseThreshold:
 		return s.pausedAt
 	default:
--- a/core/process/gttimer/timer_test.go
+++ b/core/process/gttimer/timer_test.go
@@ -72,6 +72,41 @@
 	g.Expect(s.EarliestArrival()).To(gomega.Equal(c.now), "long after the pause")
 }
 
+// A node was paused several times in a row and handled its SIGTERM 3 s late. By the last
+// pause alone it took the signal for a later one and accepted requests that were cut off by
+// SIGKILL (review/1).
+func TestSignalMayHaveArrivedBeforeASeriesOfPauses(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		running time.Duration // between the pauses
+		start   int           // the pause before which the signal may have arrived
+	}{
+		{"short of processor time", pauseSeriesGap, 0},
+		{"running in between", pauseSeriesGap + clockCheckPeriod, 2},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			s := &Service{}
+			s.checkClock()
+			var starts []time.Time
+			for range 3 {
+				for ran := time.Duration(0); ran < test.running; ran += clockCheckPeriod {
+					time.Sleep(clockCheckPeriod)
+					s.checkClock()
+				}
+				starts = append(starts, time.Now())
+				time.Sleep(900 * time.Millisecond)
+				g.Expect(s.EarliestArrival()).To(gomega.Equal(starts[min(test.start, len(starts)-1)]), "%s, pause not recorded yet", test.name)
+				s.checkClock()
+			}
+			g.Expect(s.EarliestArrival()).To(gomega.Equal(starts[test.start]), test.name)
+			time.Sleep(pauseThreshold + 1)
+			s.lastCheck = time.Now()
+			g.Expect(s.EarliestArrival()).To(gomega.Equal(time.Now()), "long after the pauses")
+		})
+	}
+}
+
 func TestRunningServiceReportsNoPause(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
