gtdrain: new requests count from the order of the shutdown

Cause: the bound by which a drain is shortened (half of its limit) also moved the end that new requests are held against. With a SIGTERM handled 3.5 s late, requests were accepted up to 6 s after it, when the platform kills the process. Change: new requests may begin only if they end within Limit of the order, however long ago that is. The drain of the requests in flight is bounded as before.

--- a/core/process/gtdrain/drain.go
+++ b/core/process/gtdrain/drain.go
@@ -27,13 +27,20 @@
 	// flight then.
 	Limit time.Duration
 
+	// begun is the start of Limit. It is at most half of Limit before the call of Begin, for
+	// the sake of the requests in flight.
 	begun gttimer.Moment
+	// ordered is the earliest time at which the shutdown may have been ordered, from which the
+	// platform counts its grace time. New requests are decided on by it.
+	ordered gttimer.Moment
 }
 
 // Begin begins a shutdown that was ordered at the given time, which may be earlier than now.
-// That takes at most half of Limit away from the requests in flight. It is called once.
+// That takes at most half of Limit away from the requests in flight; new requests may begin
+// only if they end within Limit of the order. It is called once.
 func (d *Drain) Begin(ordered time.Time) {
 	now := d.Now()
+	d.ordered.Set(ordered)
 	if earliest := now.Add(-d.Limit / 2); ordered.Before(earliest) {
 		ordered = earliest
 	}
@@ -45,8 +52,8 @@
 
 // LingerEnded reports whether the shutdown has begun and callers know of it.
 func (d *Drain) LingerEnded() bool {
-	begun := d.begun.Time()
-	return !begun.IsZero() && d.Now().Sub(begun) >= d.Linger
+	ordered := d.ordered.Time()
+	return !ordered.IsZero() && d.Now().Sub(ordered) >= d.Linger
 }
 
 // MayBegin reports whether a request with the given deadline may begin now: it ends
@@ -55,10 +62,11 @@
 	return !d.LingerEnded() || !d.EndsBefore(deadline)
 }
 
-// EndsBefore reports whether the shutdown has begun and ends before the deadline.
+// EndsBefore reports whether the shutdown has begun and, counted from its order, ends before
+// the deadline.
 func (d *Drain) EndsBefore(deadline time.Time) bool {
-	begun := d.begun.Time()
-	return !begun.IsZero() && deadline.After(begun.Add(d.Limit))
+	ordered := d.ordered.Time()
+	return !ordered.IsZero() && deadline.After(ordered.Add(d.Limit))
 }
 
 // Left returns the time until the end of the shutdown, and 0 after it. It must not
--- a/core/process/gtdrain/drain_test.go
+++ b/core/process/gtdrain/drain_test.go
@@ -55,3 +55,17 @@
 		g.Expect(d.Left()).To(gomega.Equal(left))
 	}
 }
+
+// A node handled its SIGTERM 3.5 s late and took requests that the platform's SIGKILL cut off:
+// the bound on what the drain is shortened by also held for new requests (LOST, review/1).
+func TestNewRequestsCountFromTheOrderOfTheShutdown(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(1000, 0)
+	d := &Drain{Now: func() time.Time { return now }, Linger: 2 * time.Second, Limit: 5 * time.Second}
+	d.Begin(now.Add(-3500 * time.Millisecond))
+	g.Expect(d.LingerEnded()).To(gomega.BeTrue())
+	g.Expect(d.MayBegin(now.Add(1500 * time.Millisecond))).To(gomega.BeTrue())
+	g.Expect(d.MayBegin(now.Add(1501 * time.Millisecond))).To(gomega.BeFalse())
+	g.Expect(d.EndsBefore(now.Add(1501 * time.Millisecond))).To(gomega.BeTrue())
+	g.Expect(d.Left()).To(gomega.Equal(2500*time.Millisecond), "requests in flight keep half of the limit")
+}
