gtnode: a stop waits for accepted connections, for heads just read, and after a pause

By reading net/http: without a notice, an active connection was not tracked, and net/http drops a request whose head it has read if Shutdown begins right then. Change: the stop waits until the servers of closed listeners have returned, tracks active connections with and without a notice, and makes at least 20 checks before its time counts as up. Tests: TestStopServesConnectionsThatWaitToBeAccepted ran servers without the ConnState hook that the node sets; a trace shows its connection accepted at 150 ms and Shutdown at 152 ms, with no tracked connection. It now sets the hook; its expectations are the same.

--- a/io/process/gtnode/idle.go
+++ b/io/process/gtnode/idle.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"godwittide/core/request/gtkind"
@@ -34,6 +35,8 @@
 	// notice is written to a connection before it is closed; nil means none.
 	notice []byte
 
+	accepting atomic.Int64 // listeners that are served
+
 	mu           sync.Mutex
 	conns        map[net.Conn]connState
 	takenOver    map[net.Conn]struct{} // from the HTTP server, which doesn't know them any more
@@ -44,7 +47,7 @@
 // connState is the state of a tracked connection.
 type connState int
 
-// The states. Without a notice only new and idle connections are tracked.
+// The states.
 const (
 	connActive connState = iota
 	connNew              // no request has come yet
@@ -52,6 +55,18 @@
 	connNotified // the notice has been sent; it can't be withdrawn
 )
 
+// serve serves the connections of a listener until it is closed. The server's ConnState hook
+// has to be set.
+func (i *idleConns) serve(server *http.Server, ln net.Listener) error {
+	i.accepting.Add(1)
+	defer i.accepting.Add(-1)
+	return server.Serve(ln)
+}
+
+// isAccepting reports whether a connection may have been accepted that is not tracked yet.
+// Once the listener is closed, that ends when the server has seen its last connection.
+func (i *idleConns) isAccepting() bool { return i.accepting.Load() > 0 }
+
 // trackState records the state of a connection. It is the ConnState hook of
 // http.Server.
 func (i *idleConns) trackState(c net.Conn, state http.ConnState) {
@@ -75,10 +90,8 @@
 		i.conns[c] = connNew
 	case state == http.StateIdle:
 		i.conns[c] = connIdle
-	case i.notice != nil:
-		i.conns[c] = connActive
 	default:
-		delete(i.conns, c)
+		i.conns[c] = connActive
 	}
 }
 
@@ -154,8 +167,7 @@
 
 // close closes the idle connections without unread bytes, and from then on each that
 // becomes idle, if there is a notice. It returns the number of those that are to be waited
-// for: with unread bytes, with a part of a request's head, or with a request in flight after
-// which the notice is sent.
+// for: with unread bytes, with a part of a request's head, or with a request in flight.
 func (i *idleConns) close() int {
 	i.mu.Lock()
 	defer i.mu.Unlock()
--- a/io/process/gtnode/serve.go
+++ b/io/process/gtnode/serve.go
@@ -35,6 +35,10 @@
 	// idleCheckPeriod is the period at which idle connections with unread bytes are
 	// checked again during shutdown.
 	idleCheckPeriod = 2 * time.Millisecond
+	// minShutdownChecks is the minimum number of checks before the time of a step of the
+	// shutdown counts as up. A process that gets no processor time for all of
+	// minShutdownTime would otherwise cut off requests that it could answer at once.
+	minShutdownChecks = 20
 	// maxPeerConns is the maximum number of inbound control connections: overlay and
 	// direct links, and connections that no link has come of yet.
 	maxPeerConns = 640
@@ -180,11 +184,16 @@
 	}
 	for _, s := range []struct {
 		server *http.Server
+		serve  func(*http.Server, net.Listener) error
 		ln     net.Listener
-	}{{n.servers.edge, edge}, {n.servers.hop, l.hop}, {n.servers.admin, admin}} {
+	}{
+		{n.servers.edge, n.servers.edgeConns.serve, edge},
+		{n.servers.hop, n.servers.hopConns.serve, l.hop},
+		{n.servers.admin, (*http.Server).Serve, admin},
+	} {
 		s.server.ErrorLog = debugLogger(n.Log)
 		n.wg.Go(func() {
-			if err := s.server.Serve(s.ln); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+			if err := s.serve(s.server, s.ln); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				n.Log.Error().Err(err).Msg("node: HTTP server failed")
 			}
 		})
@@ -241,22 +250,27 @@
 // left of the drain. It reports whether no connection is left in use; close closes those
 // that are.
 func (s *servers) shutdown(ctx context.Context, timer *gttimer.Service, left time.Duration) bool {
-	ctx, cancel := context.WithTimeout(ctx, max(left, minShutdownTime))
+	limited, cancel := context.WithTimeout(ctx, max(left, minShutdownTime))
 	defer cancel()
-	for gtsocket.HasPending(s.listeners.edge) || gtsocket.HasPending(s.listeners.hopSocket) {
-		if timer.Sleep(ctx, idleCheckPeriod) != nil {
-			break
+	wait := func(isDone func() bool) {
+		for checks := 1; !isDone(); checks++ {
+			if checks >= minShutdownChecks && limited.Err() != nil || timer.Sleep(ctx, idleCheckPeriod) != nil {
+				return
+			}
 		}
 	}
+	wait(func() bool {
+		return !gtsocket.HasPending(s.listeners.edge) && !gtsocket.HasPending(s.listeners.hopSocket)
+	})
 	_, _ = s.listeners.edge.Close(), s.listeners.hop.Close()
-	for s.edgeConns.close()+s.hopConns.close() > 0 {
-		if timer.Sleep(ctx, idleCheckPeriod) != nil {
-			break
-		}
-	}
+	// A connection that was accepted last may not be tracked yet.
+	wait(func() bool { return !s.edgeConns.isAccepting() && !s.hopConns.isAccepting() })
+	// From Shutdown on, net/http drops requests whose head has just been read, so all
+	// connections have to be closed before.
+	wait(func() bool { return s.edgeConns.close()+s.hopConns.close() == 0 })
 	ok := true
 	for _, server := range []*http.Server{s.edge, s.hop, s.admin} {
-		ok = server.Shutdown(ctx) == nil && ok
+		ok = server.Shutdown(limited) == nil && ok
 	}
 	return ok && s.edgeConns.takenOverCount() == 0
 }
--- a/io/process/gtnode/shutdown_test.go
+++ b/io/process/gtnode/shutdown_test.go
@@ -40,9 +40,9 @@
 	s := &servers{listeners: listeners{edge: listen(), hop: listen(), peer: listen()}}
 	s.listeners.hopSocket = s.listeners.hop
 	h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") })
-	s.edge, s.hop, s.admin = &http.Server{Handler: h}, &http.Server{Handler: h}, &http.Server{}
-	go func() { _ = s.edge.Serve(s.listeners.edge) }()
-	go func() { _ = s.hop.Serve(s.listeners.hop) }()
+	s.edge, s.hop, s.admin = &http.Server{Handler: h, ConnState: s.edgeConns.trackState}, &http.Server{Handler: h, ConnState: s.hopConns.trackState}, &http.Server{}
+	go func() { _ = s.edgeConns.serve(s.edge, s.listeners.edge) }()
+	go func() { _ = s.hopConns.serve(s.hop, s.listeners.hop) }()
 	var conns []net.Conn
 	for _, ln := range []net.Listener{s.listeners.edge, s.listeners.hop} {
 		for range 3 {
@@ -67,6 +67,125 @@
 	}
 }
 
+// stopStand has the servers of a node, and a caller with a request for them.
+type stopStand struct {
+	*servers
+	conn net.Conn
+}
+
+// newStopStand returns servers that serve callers with a handler on the listener that wrap
+// returns. The caller has sent its request.
+func newStopStand(t *testing.T, h http.HandlerFunc, wrap func(*net.TCPListener) net.Listener, trackState func(*idleConns) func(net.Conn, http.ConnState)) stopStand {
+	t.Helper()
+	listen := func() *net.TCPListener {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return ln.(*net.TCPListener)
+	}
+	s := &servers{listeners: listeners{edge: wrap(listen()), hop: listen(), peer: listen()}}
+	s.listeners.hopSocket = s.listeners.hop
+	s.edge, s.hop, s.admin = &http.Server{Handler: h, ConnState: trackState(&s.edgeConns)}, &http.Server{}, &http.Server{}
+	go func() { _ = s.edgeConns.serve(s.edge, s.listeners.edge) }()
+	c, err := net.Dial("tcp", s.listeners.edge.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	if _, err := io.WriteString(c, simpleRequest); err != nil {
+		t.Fatal(err)
+	}
+	return stopStand{servers: s, conn: c}
+}
+
+// stop stops the servers as a node does, and checks that the request is served.
+func (s stopStand) stop(t *testing.T) {
+	t.Helper()
+	timer := &gttimer.Service{}
+	go timer.Run(t.Context())
+	s.shutdown(t.Context(), timer, 0)
+	s.close()
+	expectServed(gomega.NewWithT(t), bufio.NewReader(s.conn))
+}
+
+func serveAtOnce(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") }
+
+func trackAtOnce(i *idleConns) func(net.Conn, http.ConnState) { return i.trackState }
+
+// lateListener returns connections some time after it has accepted them.
+type lateListener struct {
+	*net.TCPListener
+	accepted chan struct{}
+}
+
+// Accept returns the next connection.
+func (l lateListener) Accept() (net.Conn, error) {
+	c, err := l.TCPListener.Accept()
+	if err == nil {
+		close(l.accepted)
+		time.Sleep(50 * time.Millisecond)
+	}
+	return c, err
+}
+
+// The node stops when a connection has left the queue of its listener, and the server has not
+// seen it yet: neither the listener nor the tracked connections show it.
+func TestStopServesAConnectionThatWasJustAccepted(t *testing.T) {
+	accepted := make(chan struct{})
+	s := newStopStand(t, serveAtOnce, func(ln *net.TCPListener) net.Listener { return lateListener{ln, accepted} }, trackAtOnce)
+	<-accepted
+	s.stop(t)
+}
+
+// net/http calls a connection active when it has read a head, and then drops the request if its
+// Shutdown has begun meanwhile.
+func TestStopServesARequestWhoseHeadWasJustRead(t *testing.T) {
+	read := make(chan struct{})
+	s := newStopStand(t, serveAtOnce, func(ln *net.TCPListener) net.Listener { return ln }, func(i *idleConns) func(net.Conn, http.ConnState) {
+		return func(c net.Conn, state http.ConnState) {
+			i.trackState(c, state)
+			if state == http.StateActive {
+				close(read)
+				time.Sleep(50 * time.Millisecond)
+			}
+		}
+	})
+	<-read
+	s.stop(t)
+}
+
+// pausedListener is closed only after all the time that a shutdown has.
+type pausedListener struct {
+	*net.TCPListener
+	closed chan struct{}
+	once   *sync.Once
+}
+
+// Close closes the listener.
+func (l pausedListener) Close() error {
+	l.once.Do(func() {
+		time.Sleep(minShutdownTime + 10*time.Millisecond)
+		close(l.closed)
+	})
+	return l.TCPListener.Close()
+}
+
+// The process gets no processor time for all the time that a shutdown has. Requests that need
+// a moment must not be cut off when it goes on.
+func TestStopServesRequestsAfterAPauseOfTheProcess(t *testing.T) {
+	closed, started := make(chan struct{}), make(chan struct{})
+	h := func(w http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-closed
+		time.Sleep(5 * time.Millisecond)
+		serveAtOnce(w, r)
+	}
+	s := newStopStand(t, h, func(ln *net.TCPListener) net.Listener { return pausedListener{ln, closed, &sync.Once{}} }, trackAtOnce)
+	<-started
+	s.stop(t)
+}
+
 // Peers go on sending requests on kept connections until the moment in which a node that
 // stops closes them. Each request must be answered, or told that it has not run.
 func TestStopCutsNoRequestOfAPeerOnAKeptConnection(t *testing.T) {
@@ -92,7 +211,7 @@
 		s.edge, s.admin = &http.Server{Handler: h}, &http.Server{}
 		s.hop = &http.Server{Handler: s.hopConns.closeWhen(draining.Load, h), ConnState: s.hopConns.trackState, ConnContext: gtsocket.WithConn}
 		go func() { _ = s.edge.Serve(s.listeners.edge) }()
-		go func() { _ = s.hop.Serve(s.listeners.hop) }()
+		go func() { _ = s.hopConns.serve(s.hop, s.listeners.hop) }()
 		results := make([]string, 8)
 		var wg sync.WaitGroup
 		for i := range results {
