--- a/io/process/gtnode/serve.go
+++ b/io/process/gtnode/serve.go
@@ -35,13 +35,10 @@
 	// idleCheckPeriod is the period at which idle connections with unread bytes are
 	// checked again during shutdown.
 	idleCheckPeriod = 2 * time.Millisecond
-	// shutdownPause is the time between two checks during shutdown from which on the process
-	// counts as paused: it got no processor time.
-	shutdownPause = 50 * time.Millisecond
-	// maxShutdownPauses is the maximum number of pauses after which a shutdown gets
-	// minShutdownTime again. Without them, a process that gets no processor time until its
-	// time is up cuts off requests that it could answer at once.
-	maxShutdownPauses = 3
+	// minShutdownChecks is the minimum number of checks before the time of a step of the
+	// shutdown counts as up. A process that gets no processor time for all of
+	// minShutdownTime would otherwise cut off requests that it could answer at once.
+	minShutdownChecks = 20
 	// maxPeerConns is the maximum number of inbound control connections: overlay and
 	// direct links, and connections that no link has come of yet.
 	maxPeerConns = 640
@@ -250,21 +247,14 @@
 // drain has timed out. It first waits until all connections are accepted that callers
 // have opened, and then closes the idle ones that hold no unread bytes, so that no
 // request that has arrived is lost. Requests that come meanwhile have the time that is
-// left of the drain, and at least minShutdownTime after a pause of the process. It reports whether no connection is left in use; close closes those
+// left of the drain. It reports whether no connection is left in use; close closes those
 // that are.
 func (s *servers) shutdown(ctx context.Context, timer *gttimer.Service, left time.Duration) bool {
-	last := timer.Time()
-	deadline := last.Add(max(left, minShutdownTime))
-	pauses := 0
+	limited, cancel := context.WithTimeout(ctx, max(left, minShutdownTime))
+	defer cancel()
 	wait := func(isDone func() bool) {
-		for !isDone() {
-			now := timer.Time()
-			if now.Sub(last) >= shutdownPause && pauses < maxShutdownPauses {
-				pauses++
-				deadline = later(deadline, now.Add(minShutdownTime))
-			}
-			last = now
-			if !now.Before(deadline) || timer.Sleep(ctx, idleCheckPeriod) != nil {
+		for checks := 1; !isDone(); checks++ {
+			if checks >= minShutdownChecks && limited.Err() != nil || timer.Sleep(ctx, idleCheckPeriod) != nil {
 				return
 			}
 		}
@@ -278,8 +268,6 @@
 	// From Shutdown on, net/http drops requests whose head has just been read, so all
 	// connections have to be closed before.
 	wait(func() bool { return s.edgeConns.close()+s.hopConns.close() == 0 })
-	limited, cancel := context.WithTimeout(ctx, deadline.Sub(timer.Time()))
-	defer cancel()
 	ok := true
 	for _, server := range []*http.Server{s.edge, s.hop, s.admin} {
 		ok = server.Shutdown(limited) == nil && ok
@@ -287,14 +275,6 @@
 	return ok && s.edgeConns.takenOverCount() == 0
 }
 
-// later returns the later one of two times.
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // close closes the servers and their connections at once.
 func (s *servers) close() {
 	s.closed.Store(true)
