--- a/core/request/gtadmission/gate.go
+++ b/core/request/gtadmission/gate.go
@@ -5,7 +5,7 @@
 // # Usage
 //
 //	gate := &gtadmission.Gate{Now: timer.Time, Slots: 10}
-//	ticket, err := gate.Enter(gtconfig.Normal, deadline)
+//	ticket, err := gate.Enter(gtconfig.Normal, dueAt, deadline)
 //	select {
 //	case <-ticket.Granted():
 //	case <-ctx.Done(): ticket.Abandon()
@@ -101,6 +101,7 @@
 type Ticket struct {
 	gate         *Gate
 	class        gtconfig.Class
+	dueAt        time.Time
 	deadline     time.Time
 	granted      chan struct{}
 	running      bool
@@ -109,9 +110,10 @@
 }
 
 // Enter admits a request and returns its ticket, which is granted immediately or
-// later. If the request is refused, the kind of the error is Full, Expired, or
-// the one that the gate was closed with.
-func (g *Gate) Enter(class gtconfig.Class, deadline time.Time) (*Ticket, error) {
+// later. The response has its full value up to dueAt; the zero time means that it has it
+// up to the deadline. If the request is refused, the kind of the error is Full, Expired,
+// or the one that the gate was closed with.
+func (g *Gate) Enter(class gtconfig.Class, dueAt, deadline time.Time) (*Ticket, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.ensureInitialized()
@@ -128,7 +130,7 @@
 	if class == gtconfig.Fast {
 		g.lastFastAt = now
 	}
-	t := &Ticket{gate: g, class: class, deadline: deadline, granted: make(chan struct{})}
+	t := &Ticket{gate: g, class: class, dueAt: dueAt, deadline: deadline, granted: make(chan struct{})}
 	if len(g.queue[class]) == 0 && g.hasRoom(class, now) {
 		g.grant(t)
 		return t, nil
@@ -197,7 +199,7 @@
 	if len(q) == 0 {
 		g.queueEmptyAt[t.class] = now
 	}
-	if _, err := g.expectedWait(t.class, t.deadline, now); err != nil {
+	if _, err := g.expectedWait(t.class, t.dueAt, t.deadline, now); err != nil {
 		return err
 	}
 	i, _ := slices.BinarySearchFunc(q, t.deadline, func(o *Ticket, d time.Time) int {
@@ -212,7 +214,7 @@
 
 // expectedWait returns how long a request would wait in the queue. The error has the kind
 // Full if the queue has no room or that is too long. It changes nothing.
-func (g *Gate) expectedWait(class gtconfig.Class, deadline, now time.Time) (time.Duration, error) {
+func (g *Gate) expectedWait(class gtconfig.Class, dueAt, deadline, now time.Time) (time.Duration, error) {
 	ahead := len(g.queue[class]) + 1
 	for c := range class {
 		ahead += len(g.queue[c])
@@ -225,15 +227,24 @@
 	if wait > min(MaxWait, deadline.Sub(now)-mean) {
 		return wait, gtkind.New(gtkind.Full, "expected wait of %s in the admission queue is too long", wait.Round(time.Millisecond))
 	}
+	if !dueAt.IsZero() && g.isShort(class, now) && now.Add(wait+mean).After(dueAt) {
+		return wait, gtkind.New(gtkind.Full, "response would be late after a wait of %s in the admission queue", wait.Round(time.Millisecond))
+	}
 	return wait, nil
 }
 
+// isShort reports whether requests of the class have been waiting for so long that this is no
+// burst. A request that would be late then only takes the slot of one that would not.
+func (g *Gate) isShort(class gtconfig.Class, now time.Time) bool {
+	return len(g.queue[class]) > 0 && now.Sub(g.queueEmptyAt[class]) > MaxWait
+}
+
 // queueCapacity returns how many requests of the class may wait. A queue that
 // was empty within the last MaxWait holds a burst: it has room for all requests
 // that can run within MaxWait, provided that the mean latency is known. A queue
 // that stays filled for longer only delays every request, and is kept short.
 func (g *Gate) queueCapacity(class gtconfig.Class, now time.Time) int {
-	if g.meanLatency[class] == 0 || len(g.queue[class]) > 0 && now.Sub(g.queueEmptyAt[class]) > MaxWait {
+	if g.meanLatency[class] == 0 || g.isShort(class, now) {
 		return max(1, g.Slots/slotsPerQueuePlace)
 	}
 	return maxBurstQueue
--- a/core/request/gtadmission/outlook.go
+++ b/core/request/gtadmission/outlook.go
@@ -10,7 +10,7 @@
 // Outlook returns what Enter would do with a request now: whether it would run at once, or
 // how long it is expected to wait in the queue. The error is that of Enter, and then the
 // wait is the one that the request would have had. Outlook admits and counts nothing.
-func (g *Gate) Outlook(class gtconfig.Class, deadline time.Time) (runs bool, wait time.Duration, err error) {
+func (g *Gate) Outlook(class gtconfig.Class, dueAt, deadline time.Time) (runs bool, wait time.Duration, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.ensureInitialized()
@@ -27,6 +27,6 @@
 	if len(g.queue[class]) == 0 && g.hasRoom(class, now) {
 		return true, 0, nil
 	}
-	wait, err = g.expectedWait(class, deadline, now)
+	wait, err = g.expectedWait(class, dueAt, deadline, now)
 	return false, wait, err
 }
--- a/core/version/gtconfig/config.go
+++ b/core/version/gtconfig/config.go
@@ -190,6 +190,15 @@
 // caller, or 0 if the configuration sets none.
 func (r Route) Target() time.Duration { return r.target }
 
+// DueAt returns the time up to which the response to a request that began at start has its
+// full value, or the zero time if the route has no target.
+func (r Route) DueAt(start time.Time) time.Time {
+	if r.target == 0 {
+		return time.Time{}
+	}
+	return start.Add(r.target)
+}
+
 // Idempotent reports whether a request on the route with the given method is
 // idempotent.
 func (r Route) Idempotent(method string) bool {
--- a/io/process/gtnode/where.go
+++ b/io/process/gtnode/where.go
@@ -123,8 +123,10 @@
 		}
 		if n.table.Self().Service() == d.Service() {
 			service, _ := cfg.Service(d.Service())
-			deadline := n.timer.Time().Add(cmp.Or(route.Timeout(), service.Timeout()))
-			s.Gate = n.whereGate(class, gtcall.New("", method, path).WithRoute(d.Service(), route.Name(), class).WithDeadline(deadline))
+			now := n.timer.Time()
+			call := gtcall.New("", method, path).WithRoute(d.Service(), route.Name(), class).
+				WithDueAt(route.DueAt(now)).WithDeadline(now.Add(cmp.Or(route.Timeout(), service.Timeout())))
+			s.Gate = n.whereGate(class, call)
 		}
 		out.Services = append(out.Services, s)
 	}
@@ -182,7 +184,7 @@
 	if err := n.mayRun(c); err != nil {
 		return &WhereGate{Does: "refuse", Refused: newWhereRefused(err)}
 	}
-	runs, wait, err := n.gate.Outlook(class, c.Deadline())
+	runs, wait, err := n.gate.Outlook(class, c.DueAt(), c.Deadline())
 	g := &WhereGate{Does: "wait", WaitMS: wait.Milliseconds(), Refused: newWhereRefused(err)}
 	switch {
 	case err != nil:
--- a/io/request/gtedge/edge.go
+++ b/io/request/gtedge/edge.go
@@ -251,7 +251,7 @@
 		WithRetry(r.Header.Get(gthop.HeaderRetry) == "1").
 		WithHops(hops).
 		WithMaxBackends(route.MaxAttempts()).
-		WithDueAt(dueAt(start, route)).
+		WithDueAt(route.DueAt(start)).
 		WithDeadline(start.Add(e.Dialect.ShortenTimeout(r, e.timeout(cfg, route, service)))), nil
 }
 
@@ -277,15 +277,6 @@
 	return account, nil
 }
 
-// dueAt returns the time up to which the response to a request has its full value, or the
-// zero time if its route has no target.
-func dueAt(start time.Time, route gtconfig.Route) time.Time {
-	if route.Target() == 0 {
-		return time.Time{}
-	}
-	return start.Add(route.Target())
-}
-
 // remainingTarget returns the time that is left for a response to have its full value, for
 // gtroute.Query: 0 if there is no target, and less if it has passed.
 func (e *Edge) remainingTarget(c gtcall.Call) time.Duration {
--- a/io/request/gthop/localbackend.go
+++ b/io/request/gthop/localbackend.go
@@ -226,7 +226,7 @@
 	if err := b.checkMayRun(c); err != nil {
 		return reject(err)
 	}
-	ticket, err := b.Gate.Enter(c.Class(), c.Deadline())
+	ticket, err := b.Gate.Enter(c.Class(), c.DueAt(), c.Deadline())
 	if err != nil {
 		return reject(err)
 	}
