--- a/io/request/gtedge/target_test.go
+++ b/io/request/gtedge/target_test.go
@@ -24,7 +24,7 @@
 	start := time.Unix(1000, 0)
 	now := start
 	e := &Edge{Now: func() time.Time { return now }}
-	c := gtcall.New("1", "GET", "/").WithDueAt(dueAt(start, cfg.Routes()[0]))
+	c := gtcall.New("1", "GET", "/").WithDueAt(cfg.Routes()[0].DueAt(start))
 	for elapsed, left := range map[time.Duration]time.Duration{0: 250 * time.Millisecond, 100 * time.Millisecond: 150 * time.Millisecond, 300 * time.Millisecond: -50 * time.Millisecond} {
 		now = start.Add(elapsed)
 		g.Expect(e.remainingTarget(c)).To(gomega.Equal(left))
@@ -32,5 +32,5 @@
 	now = start.Add(250 * time.Millisecond)
 	g.Expect(e.remainingTarget(c)).To(gomega.BeNumerically("<", 0))
 	g.Expect(e.remainingTarget(gtcall.New("1", "GET", "/"))).To(gomega.BeZero())
-	g.Expect(dueAt(start, gtconfig.Route{}).IsZero()).To(gomega.BeTrue())
+	g.Expect(gtconfig.Route{}.DueAt(start).IsZero()).To(gomega.BeTrue())
 }
