--- a/core/request/gtadmission/gate.go
+++ b/core/request/gtadmission/gate.go
@@ -5,9 +5,9 @@
 // # Usage
 //
 //	gate := &gtadmission.Gate{Now: timer.Time, Slots: 10}
-//	ticket, err := gate.Enter(gtconfig.Normal, deadline)
+//	ticket, err := gate.Enter(gtconfig.Normal, dueAt, deadline)
 //	select {
-//	case <-ticket.Granted():
+//	case <-ticket.Decided(): // runs unless ticket.Err() says that it was displaced
 //	case <-ctx.Done(): ticket.Abandon()
 //	}
 //	defer ticket.Done("book", latency, gtadmission.Succeeded)
@@ -15,7 +15,9 @@
 // The concurrency limit starts low when the backend server starts, increases
 // while latency stays close to its baseline, and decreases when latency rises or
 // the backend server sheds load. Requests of the fast class run before those of
-// the other classes and have a part of the limit reserved. Enter never blocks.
+// the other classes and have a part of the limit reserved. In all classes, requests
+// that can't be in time for their target any more run only while no request waits that
+// can. Enter never blocks.
 package gtadmission
 
 import (
@@ -101,17 +103,20 @@
 type Ticket struct {
 	gate         *Gate
 	class        gtconfig.Class
+	dueAt        time.Time
 	deadline     time.Time
-	granted      chan struct{}
+	decided      chan struct{}
+	err          error
 	running      bool
 	finished     bool
 	limitReached bool
 }
 
 // Enter admits a request and returns its ticket, which is granted immediately or
-// later. If the request is refused, the kind of the error is Full, Expired, or
-// the one that the gate was closed with.
-func (g *Gate) Enter(class gtconfig.Class, deadline time.Time) (*Ticket, error) {
+// later. The response has its full value up to dueAt; the zero time means that it has it
+// up to the deadline. If the request is refused, the kind of the error is Full, Expired,
+// or the one that the gate was closed with.
+func (g *Gate) Enter(class gtconfig.Class, dueAt, deadline time.Time) (*Ticket, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.ensureInitialized()
@@ -128,7 +133,7 @@
 	if class == gtconfig.Fast {
 		g.lastFastAt = now
 	}
-	t := &Ticket{gate: g, class: class, deadline: deadline, granted: make(chan struct{})}
+	t := &Ticket{gate: g, class: class, dueAt: dueAt, deadline: deadline, decided: make(chan struct{})}
 	if len(g.queue[class]) == 0 && g.hasRoom(class, now) {
 		g.grant(t)
 		return t, nil
@@ -186,7 +191,7 @@
 	t.running = true
 	g.running[t.class]++
 	t.limitReached = g.runningTotal() >= g.limiter.current()
-	close(t.granted)
+	close(t.decided)
 }
 
 // enqueue inserts a ticket into the queue of its class in the order of
@@ -197,9 +202,10 @@
 	if len(q) == 0 {
 		g.queueEmptyAt[t.class] = now
 	}
-	if _, err := g.expectedWait(t.class, t.deadline, now); err != nil {
+	if _, err := g.expectedWait(t.class, t.deadline, now); err != nil && !g.displace(t, now) {
 		return err
 	}
+	q = g.queue[t.class]
 	i, _ := slices.BinarySearchFunc(q, t.deadline, func(o *Ticket, d time.Time) int {
 		if o.deadline.After(d) {
 			return 1
@@ -239,8 +245,13 @@
 	return maxBurstQueue
 }
 
-// Granted returns a channel that is closed when the request may run.
-func (t *Ticket) Granted() <-chan struct{} { return t.granted }
+// Decided returns a channel that is closed when the request may run, or when it has lost
+// its place in the queue, as Err tells.
+func (t *Ticket) Decided() <-chan struct{} { return t.decided }
+
+// Err returns why a request that was queued may not run, or nil. It is called once Decided
+// is closed.
+func (t *Ticket) Err() error { return t.err }
 
 // Abandon releases a ticket whose request was not sent, and reports whether the
 // ticket had been granted in the meantime.
@@ -257,7 +268,7 @@
 		g.grantQueued(g.Now())
 		return true
 	}
-	g.queue[t.class] = slices.DeleteFunc(g.queue[t.class], func(o *Ticket) bool { return o == t })
+	g.dequeue(t)
 	return false
 }
 
@@ -321,16 +332,60 @@
 	g.meanLatency[class] += time.Duration(meanLatencyWeight * float64(latency-g.meanLatency[class]))
 }
 
-// grantQueued grants queued tickets, the most urgent class first, while the
-// limit has room.
+// grantQueued grants queued tickets while the limit has room: those that can be in time
+// first, and of these the most urgent class first.
 func (g *Gate) grantQueued(now time.Time) {
-	for class := range g.queue {
-		for len(g.queue[class]) > 0 && g.hasRoom(gtconfig.Class(class), now) {
-			t := g.queue[class][0]
-			g.queue[class] = g.queue[class][1:]
-			g.grant(t)
+	for _, late := range []bool{false, true} {
+		for class := range g.queue {
+			for g.hasRoom(gtconfig.Class(class), now) {
+				t := g.next(gtconfig.Class(class), late, now)
+				if t == nil {
+					break
+				}
+				g.dequeue(t)
+				g.grant(t)
+			}
+		}
+	}
+}
+
+// next returns the first queued ticket of a class that can, or can't, be in time, or nil.
+func (g *Gate) next(class gtconfig.Class, late bool, now time.Time) *Ticket {
+	for _, t := range g.queue[class] {
+		if g.isLate(t, now) == late {
+			return t
+		}
+	}
+	return nil
+}
+
+// isLate reports whether a request that starts now is expected to miss its target.
+func (g *Gate) isLate(t *Ticket, now time.Time) bool {
+	return !t.dueAt.IsZero() && now.Add(g.meanLatency[t.class]).After(t.dueAt)
+}
+
+// displace refuses the last queued request that can't be in time, for one that can and
+// finds no place. It prefers the least urgent class. It reports whether there was one.
+func (g *Gate) displace(t *Ticket, now time.Time) bool {
+	if g.isLate(t, now) {
+		return false
+	}
+	for class := classCount - 1; class >= int(t.class); class-- {
+		for _, o := range slices.Backward(g.queue[class]) {
+			if g.isLate(o, now) {
+				g.dequeue(o)
+				g.refused++
+				o.finished, o.err = true, gtkind.New(gtkind.Full, "place in the admission queue went to a request that can be in time")
+				close(o.decided)
+				return true
+			}
 		}
 	}
+	return false
+}
+
+func (g *Gate) dequeue(t *Ticket) {
+	g.queue[t.class] = slices.DeleteFunc(g.queue[t.class], func(o *Ticket) bool { return o == t })
 }
 
 // Reset clears the statistics and returns the limit, unless it is fixed, to its
--- a/core/request/gtadmission/gate_test.go
+++ b/core/request/gtadmission/gate_test.go
@@ -66,7 +66,7 @@
 }
 
 func (s *server) enter() {
-	t, err := s.gate.Enter(gtconfig.Normal, s.now.Add(time.Second))
+	t, err := s.gate.Enter(gtconfig.Normal, time.Time{}, s.now.Add(time.Second))
 	if err != nil {
 		s.refused++
 		return
@@ -79,7 +79,7 @@
 	for _, w := range s.waiting {
 		t := w.ticket
 		select {
-		case <-t.Granted():
+		case <-t.Decided():
 			s.longestWait = max(s.longestWait, s.now.Sub(w.since))
 			s.mostRunning = max(s.mostRunning, len(s.running)+1)
 			if len(s.running) >= s.capacity {
@@ -217,23 +217,23 @@
 	g := gomega.NewWithT(t)
 	now := time.Unix(1000, 0)
 	gate := &Gate{Now: func() time.Time { return now }, Slots: 4}
-	first, err := gate.Enter(gtconfig.Normal, now.Add(time.Second))
+	first, err := gate.Enter(gtconfig.Normal, time.Time{}, now.Add(time.Second))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	late, _ := gate.Enter(gtconfig.Normal, now.Add(time.Second))
-	soon, _ := gate.Enter(gtconfig.Normal, now.Add(500*time.Millisecond))
-	fast, _ := gate.Enter(gtconfig.Fast, now.Add(time.Second))
-	_, err = gate.Enter(gtconfig.Normal, now.Add(time.Second))
+	late, _ := gate.Enter(gtconfig.Normal, time.Time{}, now.Add(time.Second))
+	soon, _ := gate.Enter(gtconfig.Normal, time.Time{}, now.Add(500*time.Millisecond))
+	fast, _ := gate.Enter(gtconfig.Fast, time.Time{}, now.Add(time.Second))
+	_, err = gate.Enter(gtconfig.Normal, time.Time{}, now.Add(time.Second))
 	g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.Full))
-	_, err = gate.Enter(gtconfig.Normal, now)
+	_, err = gate.Enter(gtconfig.Normal, time.Time{}, now)
 	g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.Expired))
 	for _, t := range []*Ticket{fast, soon, late} {
-		g.Expect(t.Granted()).NotTo(gomega.BeClosed())
+		g.Expect(t.Decided()).NotTo(gomega.BeClosed())
 		first.Done("r", time.Millisecond, Succeeded)
-		g.Expect(t.Granted()).To(gomega.BeClosed())
+		g.Expect(t.Decided()).To(gomega.BeClosed())
 		first = t
 	}
 	gate.Close(gtkind.Leaving)
-	_, err = gate.Enter(gtconfig.Normal, now.Add(time.Second))
+	_, err = gate.Enter(gtconfig.Normal, time.Time{}, now.Add(time.Second))
 	g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.Leaving))
 	g.Expect(first.Abandon()).To(gomega.BeTrue())
 	g.Expect(gate.Load("").Busy()).To(gomega.BeZero())
@@ -248,7 +248,7 @@
 	gate.LimitWarmUpRate(13, 3*time.Second)
 	var times []time.Time
 	for start := now; now.Sub(start) < 3*time.Second; now = now.Add(5 * time.Millisecond) {
-		if ticket, err := gate.Enter(gtconfig.Normal, now.Add(time.Second)); err == nil {
+		if ticket, err := gate.Enter(gtconfig.Normal, time.Time{}, now.Add(time.Second)); err == nil {
 			times = append(times, now)
 			ticket.Done("r", time.Millisecond, Succeeded)
 		}
@@ -265,7 +265,7 @@
 	}
 	now = now.Add(time.Millisecond)
 	for range 9 {
-		_, err := gate.Enter(gtconfig.Normal, now.Add(time.Second))
+		_, err := gate.Enter(gtconfig.Normal, time.Time{}, now.Add(time.Second))
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 	}
 }
@@ -276,13 +276,13 @@
 	g := gomega.NewWithT(t)
 	now := time.Unix(1000, 0)
 	gate := &Gate{Now: func() time.Time { return now }, Slots: 1, Fixed: true}
-	first, err := gate.Enter(gtconfig.Normal, now.Add(time.Second))
+	first, err := gate.Enter(gtconfig.Normal, time.Time{}, now.Add(time.Second))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	low, _ := gate.Enter(gtconfig.Normal+2, now.Add(500*time.Millisecond))
-	high, _ := gate.Enter(gtconfig.Normal+1, now.Add(time.Second))
+	low, _ := gate.Enter(gtconfig.Normal+2, time.Time{}, now.Add(500*time.Millisecond))
+	high, _ := gate.Enter(gtconfig.Normal+1, time.Time{}, now.Add(time.Second))
 	first.Done("r", time.Millisecond, Succeeded)
-	g.Expect(high.Granted()).To(gomega.BeClosed())
-	g.Expect(low.Granted()).NotTo(gomega.BeClosed())
+	g.Expect(high.Decided()).To(gomega.BeClosed())
+	g.Expect(low.Decided()).NotTo(gomega.BeClosed())
 }
 
 // A refusal by the server during the hold after a rise of latency lowers the limit
--- a/core/request/gtadmission/outlook_test.go
+++ b/core/request/gtadmission/outlook_test.go
@@ -17,7 +17,7 @@
 	now := time.Unix(1000, 0)
 	gate := &Gate{Now: func() time.Time { return now }, Slots: 4, Fixed: true}
 	gate.LimitWarmUpRate(100, 45*time.Millisecond)
-	first, err := gate.Enter(gtconfig.Normal, now.Add(time.Second))
+	first, err := gate.Enter(gtconfig.Normal, time.Time{}, now.Add(time.Second))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	now = now.Add(100 * time.Millisecond)
 	first.Done("r", 100*time.Millisecond, Succeeded)
@@ -38,7 +38,7 @@
 		}
 		g.Expect(gate.Load("r")).To(gomega.Equal(before))
 		g.Expect(gate.Refused()).To(gomega.Equal(refused))
-		ticket, err := gate.Enter(class, deadline)
+		ticket, err := gate.Enter(class, time.Time{}, deadline)
 		g.Expect(gtkind.Of(outlook)).To(gomega.Equal(gtkind.Of(err)), "request %d", i)
 		if err != nil {
 			g.Expect(outlook.Error()).To(gomega.Equal(err.Error()))
@@ -47,7 +47,7 @@
 		}
 		granted := false
 		select {
-		case <-ticket.Granted():
+		case <-ticket.Decided():
 			granted = true
 			seen["run"]++
 		default:
@@ -69,7 +69,7 @@
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(runs).To(gomega.BeTrue())
 	}
-	_, err := gate.Enter(gtconfig.Normal, now.Add(time.Second))
+	_, err := gate.Enter(gtconfig.Normal, time.Time{}, now.Add(time.Second))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	_, wait, err := gate.Outlook(gtconfig.Normal, now.Add(time.Second))
 	g.Expect(gtkind.Of(err)).To(gomega.Equal(gtkind.Full))
--- a/core/request/gtadmission/warmup_test.go
+++ b/core/request/gtadmission/warmup_test.go
@@ -70,7 +70,7 @@
 			name := to.Instance()
 			sent++
 			rt.Begin(name)
-			ticket, err := gates[name].Enter(gtconfig.Normal, now.Add(time.Second))
+			ticket, err := gates[name].Enter(gtconfig.Normal, time.Time{}, now.Add(time.Second))
 			if err != nil {
 				refused++
 				rt.End(name, "r", gtkind.Of(err), gates[name].Load("r"))
--- a/io/request/gthop/header.go
+++ b/io/request/gthop/header.go
@@ -46,6 +46,9 @@
 	// HeaderAccount holds the name of the client account, between nodes and in a
 	// request to the backend server.
 	HeaderAccount = "Gt-Account"
+	// HeaderTarget holds the time until the target of a call between nodes, in
+	// milliseconds; it is negative once the target has passed.
+	HeaderTarget = "Gt-Target"
 	// HeaderResponse holds the metadata of a response between nodes; see
 	// encodeResponseMeta.
 	HeaderResponse = "Gt-Answer"
@@ -60,7 +63,7 @@
 )
 
 // nodeFields are the header fields that only a node may set.
-var nodeFields = []string{HeaderID, HeaderCall, HeaderVersion, HeaderAccount, HeaderResponse, HeaderCapacity, HeaderKind, HeaderCertainty}
+var nodeFields = []string{HeaderID, HeaderCall, HeaderVersion, HeaderAccount, HeaderTarget, HeaderResponse, HeaderCapacity, HeaderKind, HeaderCertainty}
 
 // backendFields are computed for each request to the backend server. They are
 // removed from requests between nodes.
--- a/io/request/gthop/localbackend.go
+++ b/io/request/gthop/localbackend.go
@@ -226,14 +226,18 @@
 	if err := b.checkMayRun(c); err != nil {
 		return reject(err)
 	}
-	ticket, err := b.Gate.Enter(c.Class(), c.Deadline())
+	ticket, err := b.Gate.Enter(c.Class(), c.DueAt(), c.Deadline())
 	if err != nil {
 		return reject(err)
 	}
 	gtinflight.FromContext(ctx).MoveTo(gtinflight.Queued, b.Self().Instance())
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline())
 	select {
-	case <-ticket.Granted():
+	case <-ticket.Decided():
+		if err := ticket.Err(); err != nil {
+			cancel()
+			return reject(err)
+		}
 	case <-ctx.Done():
 		ticket.Abandon()
 		cancel()
--- a/io/request/gthop/metadata.go
+++ b/io/request/gthop/metadata.go
@@ -42,9 +42,8 @@
 // id/instance/remaining/flags/class/service/route/hops/crashes. Each part is
 // percent-encoded, and the remaining time is in milliseconds. The ID is empty if
 // the caller chose it, as the caller's own header field carries it already. The
-// version goes into HeaderVersion and the account's name into HeaderAccount, which
-// nodes without them ignore. The
-// fields that are set for each request to the backend server are removed.
+// version goes into HeaderVersion, the account's name into HeaderAccount and the time until
+// the target into HeaderTarget, which nodes without them ignore. The fields that are set for each request to the backend server are removed.
 func (d Dialect) encodeCall(r *http.Request, c gtcall.Call, instance string, now time.Time) {
 	for _, f := range backendFields {
 		delete(r.Header, f)
@@ -73,6 +72,9 @@
 	if c.Account() != "" {
 		r.Header.Set(HeaderAccount, url.PathEscape(c.Account()))
 	}
+	if !c.DueAt().IsZero() {
+		r.Header.Set(HeaderTarget, strconv.FormatInt(c.DueAt().Sub(now).Milliseconds(), 10))
+	}
 }
 
 func noID() string { return "" }
@@ -147,9 +149,20 @@
 		WithHops(hops).
 		WithCrashes(crashes).
 		WithDeadline(now.Add(time.Duration(remaining) * time.Millisecond)).
+		WithDueAt(dueAt(r, now)).
 		WithHeader(ForwardableHeader(r.Header)), nil
 }
 
+// dueAt returns the time of the target in HeaderTarget, or the zero time if the field is
+// missing or invalid.
+func dueAt(r *http.Request, now time.Time) time.Time {
+	ms, err := strconv.ParseInt(r.Header.Get(HeaderTarget), 10, 64)
+	if err != nil || ms > gtconfig.MaxTimeout.Milliseconds() || ms < -gtconfig.MaxTimeout.Milliseconds() {
+		return time.Time{}
+	}
+	return now.Add(time.Duration(ms) * time.Millisecond)
+}
+
 // responseMeta is the metadata that a peer adds to a response: the request ID,
 // the load of its backend server, and the error kind, or None.
 type responseMeta struct {
