gthop, gtedge: a dropped body in windows is reported like any other

A body that another node sends in windows joined the budget in a second place, which left out the line and the metric of limit memory; both now use joinBody. The result of a lookup stands beside it, after the split of the file.

--- a/io/request/gtedge/edge.go
+++ b/io/request/gtedge/edge.go
@@ -354,9 +354,3 @@
 	s, _ := cfg.Service(service)
 	return s.Timeout()
 }
-
-// lookupResult is what one instance returned to a lookup.
-type lookupResult struct {
-	resp gtcall.Response
-	err  error
-}
--- a/io/request/gtedge/key.go
+++ b/io/request/gtedge/key.go
@@ -48,6 +48,12 @@
 	return gtcall.Response{}, lastErr
 }
 
+// lookupResult is what one instance returned to a lookup.
+type lookupResult struct {
+	resp gtcall.Response
+	err  error
+}
+
 // lookup queries every instance of the service for the outcome of a request that
 // the caller has sent before, possibly through another availability zone. It
 // returns true with the response if an instance has one, and true with an error
--- a/io/request/gthop/hold.go
+++ b/io/request/gthop/hold.go
@@ -79,10 +79,7 @@
 	if r.ContentLength == 0 {
 		return nil, true, nil
 	}
-	h.body = h.budget.Join(func() {
-		h.reportDrop()
-		gtsocket.InterruptRead(r.Context())
-	})
+	h.joinBody()
 	stopped := make(chan struct{})
 	stop := sync.OnceFunc(func() { close(stopped) })
 	entry.BeginReading(func() {
@@ -111,6 +108,14 @@
 	}
 }
 
+// joinBody joins the budget for the body. One that is dropped is no longer read.
+func (h *Hold) joinBody() {
+	h.body = h.budget.Join(func() {
+		h.reportDrop()
+		gtsocket.InterruptRead(h.ctx)
+	})
+}
+
 // readSegments reads a body to its end, to one byte above limit, or to upTo bytes. It reserves
 // each segment before it is read, and reports whether the body has ended.
 func (h *Hold) readSegments(r *http.Request, limit, upTo int, stopped <-chan struct{}) ([][]byte, int, bool, error) {
--- a/io/request/gthop/metadata.go
+++ b/io/request/gthop/metadata.go
@@ -44,8 +44,8 @@
 // percent-encoded, and the remaining time is in milliseconds. The ID is empty if
 // the caller chose it, as the caller's own header field carries it already. The
 // version goes into HeaderVersion and the account's name into HeaderAccount, which
-// nodes without them ignore. The
-// fields that are set for each request to the backend server are removed.
+// nodes without them ignore. The fields that are set for each request to the backend
+// server are removed.
 func (d Dialect) encodeCall(r *http.Request, c gtcall.Call, instance string, now time.Time) {
 	for _, f := range backendFields {
 		delete(r.Header, f)
--- a/io/request/gthop/windows.go
+++ b/io/request/gthop/windows.go
@@ -61,7 +61,7 @@
 	if r.ContentLength > int64(limit) {
 		return nil, gtkind.New(gtkind.TooLarge, "request body has %d bytes, the limit is %d", r.ContentLength, limit)
 	}
-	h.body = h.budget.Join(func() { gtsocket.InterruptRead(r.Context()) })
+	h.joinBody()
 	if err := h.awaitRoom(r.Context(), gtstream.WindowBytes, nil); err != nil {
 		return nil, errNoRoom
 	}
