gtpool: a response without a valid status ends the exchange

What callers saw: where a backend server in trouble sends the status 000, they waited until their deadline, or, where its body looked like a response, got that body as the backend server's response (200 in the new test). A status of 600 was passed on as it was, and 101 though no request asks to switch protocols.

Cause: gtpool took each status below 200 but 101 for an interim response and read on after its head. Its body, if any, was then read as the head of the next response. The class: bytes whose end isn't known are read as something else. The same holds for an interim response that says that it has a body.

Change: one function reads each head for both kinds of exchanges. A status outside 100 to 599, 101, and an interim response with a length or chunks end the exchange with the kind ConnectionLost: may have run, 502, retried elsewhere only if idempotent. The connection is closed at once.

Evidence: TestInvalidStatusEndsTheExchange failed in 22 of its 22 cases before, TestInvalidStatusOfABackendServerDoesNotReachTheCaller in 2 of 3 (200 and 600 in place of 502; a lone 000 whose connection is closed gave 502 before, too). Looked at besides: the store's client and that of duties treat any status but those they know as a failure; the edge writes only statuses that came through gtpool or from the table of kinds.

--- a/io/connection/gtpool/conn.go
+++ b/io/connection/gtpool/conn.go
@@ -174,17 +174,11 @@
 	c.expectHead, c.headBytes = true, 0
 	defer func() { c.expectKeepAlive, c.expectHead = false, false }()
 	for {
-		resp, err := http.ReadResponse(c.r, req)
+		resp, err := c.readHead(req)
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
-			continue
-		}
-		if c.pool.IsMismatched != nil && c.pool.IsMismatched(req, resp) {
-			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-				return nil, err
-			}
+		if resp == nil || isInterim(resp) {
 			continue
 		}
 		c.setReadDeadline(c.deadline)
--- a/io/connection/gtpool/stream.go
+++ b/io/connection/gtpool/stream.go
@@ -87,10 +87,12 @@
 	c.expectHead, c.headBytes = true, 0
 	defer func() { c.expectKeepAlive, c.expectHead = false, false }()
 	for {
-		resp, err := http.ReadResponse(c.r, req)
+		resp, err := c.readHead(req)
 		switch {
 		case err != nil:
 			return nil, err
+		case resp == nil:
+			continue
 		case resp.StatusCode == http.StatusContinue && !u.begun:
 			if resp.Header.Get(WindowsField) != "" {
 				u.begin()
@@ -98,12 +100,7 @@
 				return nil, err
 			}
 			continue
-		case resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols:
-			continue
-		case c.pool.IsMismatched != nil && c.pool.IsMismatched(req, resp):
-			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-				return nil, err
-			}
+		case isInterim(resp):
 			continue
 		}
 		c.setReadDeadline(c.deadline)
