gtnode: the log tells how a version reached a node, and how long each part took

What callers saw: nothing, no logic changes.

Change: the line has from (store or the peer), fetch (ms from the first word of the version until its files were here) and merge (ms from then on); godwittide_version_delay{part} is the histogram of both. What handles a version moves from watch.go to install.go. The version by which a refused request was judged, and its age, were in "request: answered" already.

Tests: gtnode, gtoverlay, gtfetch, gtdelta, platform and mesh pass.

--- a/core/version/gtfetch/fetch.go
+++ b/core/version/gtfetch/fetch.go
@@ -32,8 +32,9 @@
 
 	mu         sync.Mutex
 	wanted     int64
-	announcers []string // of the wanted version, that have not been asked
-	asked      []string // for the wanted version, since its last announcement by them
+	heard      time.Time // when the wanted version was first announced
+	announcers []string  // of the wanted version, that have not been asked
+	asked      []string  // for the wanted version, since its last announcement by them
 	running    map[string]time.Time
 }
 
@@ -45,7 +46,7 @@
 		return
 	}
 	if version > f.wanted {
-		f.wanted, f.announcers, f.asked = version, nil, nil
+		f.wanted, f.heard, f.announcers, f.asked = version, f.Now(), nil, nil
 	}
 	f.asked = slices.DeleteFunc(f.asked, func(p string) bool { return p == peer })
 	if !slices.Contains(f.announcers, peer) {
@@ -88,6 +89,13 @@
 	f.announcers = slices.DeleteFunc(f.announcers, func(p string) bool { return p == peer })
 }
 
+// Heard returns when the version to fetch was first announced.
+func (f *Fetches) Heard() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.heard
+}
+
 // Ended records that the fetch from a peer has ended.
 func (f *Fetches) Ended(peer string) {
 	f.mu.Lock()
--- a/io/process/gtnode/watch.go
+++ b/io/process/gtnode/watch.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/joomcode/errorx"
-
 	"godwittide/core/process/gtaccept"
 	"godwittide/core/process/gtmember"
 	"godwittide/core/process/gtrank"
@@ -303,7 +301,7 @@
 		if err != nil {
 			return err
 		}
-		return n.installVersion(snapshot)
+		return n.Install(snapshot)
 	}
 	if rank := min(n.AcceptRank(), maxDelayRank); rank > 0 {
 		if err := n.timer.Sleep(ctx, gtaccept.AcceptDelay(rank)); err != nil {
@@ -381,48 +379,5 @@
 		return err
 	}
 	n.Log.Info().Int64("version", next.Version()).Int64("push", push).Msg("watch: push accepted")
-	return n.installVersion(next)
-}
-
-// mergeFiles merges the files of a version into a configuration, and returns the
-// problems found. The configuration is valid only if there are none.
-func (n *Node) mergeFiles(files map[string]string) (*gtconfig.Config, []gtconfig.Problem) {
-	if n.ParseFiles != nil {
-		return n.ParseFiles(files)
-	}
-	return n.parser.Merge(files)
-}
-
-// ActiveVersion returns the active version with its files.
-func (n *Node) ActiveVersion() gtdelta.Snapshot { return n.holder.Current().Snapshot() }
-
-// ActiveConfig returns the configuration of the active version.
-func (n *Node) ActiveConfig() *gtconfig.Config { return n.holder.Current().Config() }
-
-// Install activates a version if it is higher than the active one. It returns an
-// error if the version's files have problems.
-func (n *Node) Install(snapshot gtdelta.Snapshot) error { return n.installVersion(snapshot) }
-
-// installVersion merges the files of a version, activates it and announces it to
-// the peers, if it is higher than the active version.
-func (n *Node) installVersion(snapshot gtdelta.Snapshot) error {
-	n.installMu.Lock()
-	defer n.installMu.Unlock()
-	previous := n.holder.Current()
-	if snapshot.Version() <= previous.Snapshot().Version() {
-		return nil
-	}
-	cfg, problems := n.mergeFiles(snapshot.Files())
-	if len(problems) > 0 {
-		return errorx.IllegalFormat.New("activate version %d: problem in its files: %s", snapshot.Version(), problems[0])
-	}
-	if !n.holder.Offer(snapshot, cfg) {
-		return nil
-	}
-	zone := n.Settings.Node.Zone
-	n.applyConfig(previous.Config().IsZoneDrained(zone), cfg.IsZoneDrained(zone))
-	n.scope.Gauge("version").Update(float64(snapshot.Version()))
-	n.Log.Info().Int64("version", snapshot.Version()).Str("sum", cfg.Checksum()).Msg("config: version in force")
-	n.overlay.AnnounceVersion()
-	return nil
+	return n.Install(next)
 }
--- a/io/process/gtoverlay/fetch.go
+++ b/io/process/gtoverlay/fetch.go
@@ -94,6 +94,7 @@
 
 func (o *Overlay) fetch(pl *peerLink) error {
 	snapshot := o.Holder.Current().Snapshot()
+	heard := o.fetches.Heard()
 	var response FetchResponse
 	if err := pl.link.Call(o.ctx, "fetch", VersionID{Version: snapshot.Version(), Checksum: snapshot.Checksum()}, &response); err != nil {
 		return err
@@ -111,7 +112,7 @@
 	if next.Version() <= snapshot.Version() {
 		return errorx.IllegalState.New("peer has no version above %d", snapshot.Version())
 	}
-	return o.Install(next)
+	return o.Install(next, gtdelta.NewArrival(pl.instance, heard, o.Timer.Time()))
 }
 
 func applyFetched(snapshot gtdelta.Snapshot, f FetchResponse) (gtdelta.Snapshot, error) {
--- a/io/process/gtoverlay/overlay.go
+++ b/io/process/gtoverlay/overlay.go
@@ -105,7 +105,7 @@
 	// that nothing is done.
 	OnSummary func(i gtsummary.Instance)
 	// Install merges a version that a peer sent and makes it the active version.
-	Install func(snapshot gtdelta.Snapshot) error
+	Install func(snapshot gtdelta.Snapshot, a gtdelta.Arrival) error
 	// Current holds until when the configuration is known to have been current, which
 	// linked peers tell each other; nil means that nothing is told.
 	Current *gtcurrent.Tracker
