gtnode, gtrepository: what the store has lost is written again

What callers would see after a drill: contacts, departures and states of moves that the store had acknowledged are gone, so that a node that starts finds no peer, uses a backend server that has left, or gives requests to a version that was rolled back; the holder of a duty goes on by a lease that the store doesn't know.

Change: a node hears of a new era from its own calls of the store, or by the number of a version that a peer announces (StoreEra). The tenure of a duty ends.

--- a/core/version/gtdelta/delta.go
+++ b/core/version/gtdelta/delta.go
@@ -101,6 +101,9 @@
 // Files returns a copy of the file contents, keyed by name.
 func (s Snapshot) Files() map[string]string { return maps.Clone(s.files) }
 
+// File returns the content of a file, or "" if there is none.
+func (s Snapshot) File(name string) string { return s.files[name] }
+
 // Bytes returns the total size of the names and contents of the files.
 func (s Snapshot) Bytes() int {
 	n := 0
--- a/core/version/gtdelta/holder.go
+++ b/core/version/gtdelta/holder.go
@@ -80,3 +80,15 @@
 	}
 	return nil, false
 }
+
+// RemovedFiles returns the names of the files that recent versions up to the active one have
+// removed.
+func (h *Holder) RemovedFiles() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var names []string
+	for _, d := range h.deltaLog {
+		names = append(names, d.removed...)
+	}
+	return names
+}
--- a/io/process/gtduties/holder.go
+++ b/io/process/gtduties/holder.go
@@ -55,6 +55,15 @@
 	d.Log.Info().Str("duty", UsageReport).Int64("token", h.tenure.Token()).Str("why", h.tenure.EndReason()).Msg("duty: given up")
 }
 
+// EndTenure ends the tenure of this node, if it holds the duty, with a reason.
+func (d *Duties) EndTenure(reason string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.current != nil {
+		d.current.End(reason)
+	}
+}
+
 func (d *Duties) setHolding(h *holding) {
 	d.mu.Lock()
 	d.current, d.lastWindow = nil, 0
--- a/io/process/gtnode/departure.go
+++ b/io/process/gtnode/departure.go
@@ -25,6 +25,7 @@
 type departures struct {
 	mu      sync.Mutex
 	last    gtheartbeat.Process
+	lastAt  time.Time     // when it announced its shutdown
 	written chan struct{} // closed after the first attempt to write last to the store
 
 	writeMu    sync.Mutex // held during a write
@@ -34,13 +35,13 @@
 
 // set replaces the last process and the channel of its write, and reports whether it did.
 // It leaves out a process that started before the last, with the same ID.
-func (d *departures) set(p gtheartbeat.Process, written chan struct{}) bool {
+func (d *departures) set(p gtheartbeat.Process, now time.Time, written chan struct{}) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.last.ID() == p.ID() && p.StartMillis() <= d.last.StartMillis() {
 		return false
 	}
-	d.last, d.written = p, written
+	d.last, d.lastAt, d.written = p, now, written
 	return true
 }
 
@@ -80,7 +81,7 @@
 // of the node's record. The store is written to in another thread.
 func (n *Node) rememberDeparture(p gtheartbeat.Process) {
 	written := make(chan struct{})
-	if !n.departures.set(p, written) {
+	if !n.departures.set(p, n.timer.Time(), written) {
 		return
 	}
 	n.table.SetSelfDeparted(departedText(p), true)
@@ -108,6 +109,19 @@
 	}
 }
 
+// restoreDeparture writes the last departure to the store again, which has lost it, unless it no
+// longer matters. It reports whether it does.
+func (n *Node) restoreDeparture(ctx context.Context) bool {
+	d := &n.departures
+	d.mu.Lock()
+	p, matters := d.last, !d.lastAt.IsZero() && n.timer.Time().Sub(d.lastAt) <= departureTTL
+	d.mu.Unlock()
+	if matters {
+		n.wg.Go(func() { n.storeDeparture(ctx, p, make(chan struct{})) })
+	}
+	return matters
+}
+
 // storeDeparture writes a departure to the store, and closes written after the first
 // attempt. It retries until ctx ends or the departure no longer matters.
 func (n *Node) storeDeparture(ctx context.Context, p gtheartbeat.Process, written chan struct{}) {
--- a/io/process/gtnode/install.go
+++ b/io/process/gtnode/install.go
@@ -7,6 +7,7 @@
 
 	"godwittide/core/version/gtconfig"
 	"godwittide/core/version/gtdelta"
+	"godwittide/core/version/gtera"
 )
 
 // mergeFiles merges the files of a version into a configuration, and returns the
@@ -36,6 +37,7 @@
 func (n *Node) installVersion(snapshot gtdelta.Snapshot, a gtdelta.Arrival) error {
 	n.installMu.Lock()
 	defer n.installMu.Unlock()
+	n.StoreEra.See(gtera.Era(snapshot.Version()))
 	previous := n.holder.Current()
 	if snapshot.Version() <= previous.Snapshot().Version() {
 		return nil
@@ -55,6 +57,9 @@
 	return nil
 }
 
+// RemovedFiles returns the names of the files that recent versions have removed.
+func (n *Node) RemovedFiles() []string { return n.holder.RemovedFiles() }
+
 // recordArrival logs a version that has become active, and how it reached this node.
 func (n *Node) recordArrival(snapshot gtdelta.Snapshot, cfg *gtconfig.Config, a gtdelta.Arrival) {
 	merge := n.timer.Time().Sub(a.Loaded())
--- a/io/process/gtnode/node.go
+++ b/io/process/gtnode/node.go
@@ -45,6 +45,7 @@
 	"godwittide/core/version/gtconfig"
 	"godwittide/core/version/gtcurrent"
 	"godwittide/core/version/gtdelta"
+	"godwittide/core/version/gtera"
 	"godwittide/core/version/gtmove"
 	"godwittide/io/connection/gtpool"
 	"godwittide/io/connection/gttls"
@@ -79,6 +80,8 @@
 	// Store is the platform's store; nil means the one at the endpoint in
 	// Settings, if any.
 	Store *gtstore.Store
+	// StoreEra is the latest era of Store; nil means that Store has one era only.
+	StoreEra *gtera.Latest
 	// ParseFiles merges the files of a version into a configuration; nil means the
 	// format of the operators' folder.
 	ParseFiles func(files map[string]string) (*gtconfig.Config, []gtconfig.Problem)
@@ -167,6 +170,7 @@
 	backend        backendState
 	departures     departures
 	recalls        recallReads
+	restores       restores
 	reload         reloader
 	recallOnce     sync.Once
 	runCtx         context.Context // ends when the node stops
@@ -274,6 +278,7 @@
 	n.buildRequestPath()
 	n.buildOverlay()
 	n.buildDuties()
+	n.buildRestores()
 	return nil
 }
 
@@ -398,6 +403,9 @@
 	if n.configStore != nil || n.WatchConfig != nil {
 		n.wg.Go(func() { n.watchStore(ctx) })
 	}
+	if n.configStore != nil {
+		n.wg.Go(func() { n.restoreOnRise(ctx) })
+	}
 	n.serve(ctx, l)
 }
 
--- a/io/process/gtnode/watch.go
+++ b/io/process/gtnode/watch.go
@@ -260,12 +260,27 @@
 			n.Log.Info().Int("failures", failures).Msg("watch: contact entry restored")
 			failures = 0
 		}
-		if n.timer.Sleep(ctx, time.Duration((0.8+0.4*rand.Float64())*float64(wait))) != nil {
+		if !n.awaitContactTurn(ctx, time.Duration((0.8+0.4*rand.Float64())*float64(wait))) {
 			return
 		}
 	}
 }
 
+// awaitContactTurn waits for a time, or until soon after the store has lost the entry. It
+// returns false if ctx ends.
+func (n *Node) awaitContactTurn(ctx context.Context, wait time.Duration) bool {
+	t := n.timer.After(wait)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C():
+		return true
+	case <-n.restores.contact:
+		return n.timer.Sleep(ctx, rand.N(restoreSpread)) == nil
+	}
+}
+
 // renewContact renews the lease of this node's contact entry, or else writes the
 // entry with a new lease, whose ID it stores in lease.
 func (n *Node) renewContact(ctx context.Context, lease *int64) error {
--- a/io/version/gtrepository/read.go
+++ b/io/version/gtrepository/read.go
@@ -103,6 +103,16 @@
 // Moves returns the states of all moves that could be decoded.
 func (s State) Moves() []gtmove.State { return s.moves }
 
+// move returns the state of a move, and whether it was read.
+func (s State) move(id string) (gtmove.State, bool) {
+	for _, m := range s.moves {
+		if m.ID() == id {
+			return m, true
+		}
+	}
+	return gtmove.State{}, false
+}
+
 // key returns the key that consists of the prefix and the parts joined by slashes.
 func (r *Repository) key(parts ...string) string { return r.Prefix + strings.Join(parts, "/") }
 
--- a/io/version/gtrepository/write.go
+++ b/io/version/gtrepository/write.go
@@ -13,6 +13,7 @@
 	"github.com/joomcode/errorx"
 
 	"godwittide/core/version/gtdelta"
+	"godwittide/core/version/gtera"
 	"godwittide/core/version/gtmove"
 	"godwittide/io/connection/gtwire"
 	"godwittide/io/process/gtstore"
@@ -327,12 +328,10 @@
 }
 
 // PutMoveWith does the same as PutMove, in a transaction to which addOps may add
-// further writes.
+// further writes. If the store came back from an older copy after the revision of m, it
+// replaces what the store has of the move unless that is as new as m.
 func (r *Repository) PutMoveWith(ctx context.Context, m gtmove.State, addOps func(txn *gtstore.Txn)) (gtmove.State, error) {
-	key := r.key("w", "move", m.ID())
-	txn := gtstore.NewTxn().IfRev(key, m.Rev()).Put(key, encode(gtwire.FromMove(m)))
-	addOps(txn)
-	result, err := r.Store.Txn(ctx, txn)
+	result, err := r.putMove(ctx, m, m.Rev(), addOps)
 	if err == nil && result.Succeeded() {
 		return m.WithRev(result.Rev()), nil
 	}
@@ -340,15 +339,29 @@
 	if readErr != nil {
 		return m, errorx.Decorate(readErr, "read back the state of a move after an unconfirmed write")
 	}
-	for _, stored := range s.moves {
-		if stored.ID() == m.ID() {
-			return stored, nil
+	stored, ok := s.move(m.ID())
+	if gtera.Era(s.Rev()) > gtera.Era(m.Rev()) && (!ok || m.Supersedes(stored)) {
+		if result, err = r.putMove(ctx, m, stored.Rev(), addOps); err == nil && result.Succeeded() {
+			return m.WithRev(result.Rev()), nil
 		}
 	}
-	if err == nil {
+	switch {
+	case ok:
+		return stored, nil
+	case err == nil:
 		return m.WithRev(0), ErrConflict
+	default:
+		return m, errorx.Decorate(err, "write the state of a move")
 	}
-	return m, errorx.Decorate(err, "write the state of a move")
+}
+
+// putMove writes the state of a move if the stored one has a revision, or there is none for
+// revision 0.
+func (r *Repository) putMove(ctx context.Context, m gtmove.State, rev int64, addOps func(txn *gtstore.Txn)) (gtstore.TxnResult, error) {
+	key := r.key("w", "move", m.ID())
+	txn := gtstore.NewTxn().IfRev(key, rev).Put(key, encode(gtwire.FromMove(m)))
+	addOps(txn)
+	return r.Store.Txn(ctx, txn)
 }
 
 // PutContact stores a node's peer address as a contact through which other
