gtnode: a version tells of an era only once it is active; a lost lease isn't tried

A version whose files are refused told the node of an era all the same. The first attempt to write a lost departure again failed by the lease of the earlier era, and logged a warning.

--- a/io/process/gtnode/departure.go
+++ b/io/process/gtnode/departure.go
@@ -117,6 +117,9 @@
 	p, matters := d.last, !d.lastAt.IsZero() && n.timer.Time().Sub(d.lastAt) <= departureTTL
 	d.mu.Unlock()
 	if matters {
+		d.writeMu.Lock()
+		d.lease = 0
+		d.writeMu.Unlock()
 		n.wg.Go(func() { n.storeDeparture(ctx, p, make(chan struct{})) })
 	}
 	return matters
--- a/io/process/gtnode/install.go
+++ b/io/process/gtnode/install.go
@@ -37,7 +37,6 @@
 func (n *Node) installVersion(snapshot gtdelta.Snapshot, a gtdelta.Arrival) error {
 	n.installMu.Lock()
 	defer n.installMu.Unlock()
-	n.StoreEra.See(gtera.Era(snapshot.Version()))
 	previous := n.holder.Current()
 	if snapshot.Version() <= previous.Snapshot().Version() {
 		return nil
@@ -49,6 +48,7 @@
 	if !n.holder.Offer(snapshot, cfg) {
 		return nil
 	}
+	n.StoreEra.See(gtera.Era(snapshot.Version()))
 	zone := n.Settings.Node.Zone
 	n.applyConfig(previous.Config().IsZoneDrained(zone), cfg.IsZoneDrained(zone))
 	n.scope.Gauge("version").Update(float64(snapshot.Version()))
