--- a/review/stand-2/backend.go
+++ b/review/stand-2/backend.go
@@ -63,6 +63,7 @@
 	free     chan struct{}
 	queued   int
 	down     bool
+	silent   bool // sends no heartbeats any more
 }
 
 // maxQueue is the number of requests that a backend queues.
@@ -105,18 +106,23 @@
 	}
 }
 
-// sendBeat sends one heartbeat and reports whether the process with the id still runs. The
-// record names acknowledged heartbeats that say draining.
-func (b *backend) sendBeat(id string) bool {
-	b.mu.Lock()
-	isCurrent := b.id == id && !b.down
+// heartbeatLocked returns the body of the next heartbeat. The caller holds the lock.
+func (b *backend) heartbeatLocked() []byte {
 	b.seq++
-	state := b.state
 	body, _ := json.Marshal(map[string]any{
 		"address": b.address, "born": b.born,
 		"info":   map[string]any{"service": b.service, "version": b.version, "zone": b.zone, "slots": b.slots},
-		"status": map[string]any{"state": state, "callSeq": b.seq, "coldRemaining": "0ms"},
+		"status": map[string]any{"state": b.state, "callSeq": b.seq, "coldRemaining": "0ms"},
 	})
+	return body
+}
+
+// sendBeat sends one heartbeat and reports whether the process with the id still runs. The
+// record names acknowledged heartbeats that say draining.
+func (b *backend) sendBeat(id string) bool {
+	b.mu.Lock()
+	isCurrent := b.id == id && !b.down && !b.silent
+	state, body := b.state, b.heartbeatLocked()
 	b.mu.Unlock()
 	if !isCurrent {
 		return false
