--- a/review/stand-2/departure.go
+++ b/review/stand-2/departure.go
@@ -21,7 +21,7 @@
 	// heldUp is how late a heartbeat arrives.
 	heldUp = 2500 * time.Millisecond
 	// servesOn is how long the backend serves on after it has deregistered.
-	servesOn = 9 * time.Second
+	servesOn = 6 * time.Second
 )
 
 // call sends a call of a backend to the node beside it, and returns the status.
@@ -79,7 +79,7 @@
 	for i := range 4 {
 		shape := func(b *backend) {
 			b.isFatal = func(string) bool { return false }
-			b.workTime = func(string) time.Duration { return 40 * time.Millisecond }
+			b.workTime = func(string) time.Duration { return 110 * time.Millisecond }
 			b.onArrival = func(a arrival) {
 				mu.Lock()
 				defer mu.Unlock()
